--- /dev/null
+++ b/ferrydeck/config/mesh_settings.py
@@ -0,0 +1,86 @@
+"""The settings of a daemon whose policy comes from the platform's store."""
+
+from __future__ import annotations
+
+import types
+from collections.abc import Mapping
+
+import attrs
+
+from ferrydeck.config import findings, options, settings
+from ferrydeck.mesh import runtime
+from ferrydeck.platform import terms
+
+ANY_NAME = options.Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+ADDRESS = options.Address()
+FREE_TEXT = options.Text(pattern=r".*")
+
+
+@attrs.define(kw_only=True, frozen=True)
+class LogLimits:
+    """How many lines are written at most."""
+
+    failed_per_s: int = options.option(
+        options.Number(low=0, high=100000, whole=True), default=50
+    )
+    """Lines a second of each kind of decision that is not the plain case."""
+    served_per_s: int = options.option(
+        options.Number(low=0, high=100000, whole=True), default=5
+    )
+    """Lines a second of requests that were answered."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Settings:
+    """Everything that such a daemon reads before it starts."""
+
+    box: str = options.option(ANY_NAME)
+    data_centre: str = options.option(ANY_NAME)
+    region: str = options.option(ANY_NAME)
+    ip: str = options.option(options.Address(port=False))
+    service: str = options.option(ANY_NAME)
+    """The service of the server on this box."""
+    target: str = options.option(ADDRESS)
+    """Where that server answers."""
+    calls: str = options.option(ADDRESS)
+    """Where callers send requests."""
+    ready: str = options.option(ADDRESS)
+    """Where readiness is asked for."""
+    reports: str = options.option(ADDRESS)
+    """Where servers report."""
+    store: str = options.option(ADDRESS)
+    """The platform's store."""
+    link_port: int = options.option(settings.PORT)
+    """Port for other daemons, the same on all boxes."""
+    metrics_port: int = options.option(settings.PORT)
+    seeds: tuple[str, ...] = options.option(options.Items(item=ADDRESS), default=())
+    """Addresses of other boxes; only their IP numbers are used."""
+    terms: Mapping[str, str] = options.option(
+        options.Table(item=FREE_TEXT), default=types.MappingProxyType({})
+    )
+    """What was agreed for the deployment, as the platform states it."""
+    report_interval: str = options.option(FREE_TEXT, default="")
+    log: LogLimits = options.option(options.Section(cls=LogLimits), default=LogLimits())
+
+
+def load(path: str) -> Settings | findings.Rejected:
+    """Read and check the settings file at `path`."""
+    return options.read_file(Settings, path, check_together)
+
+
+def check_together(cfg: Settings, report: findings.Report) -> None:
+    """Report what is wrong between keys that are right alone."""
+    used: dict[str, str] = {}
+    for name in ("target", "calls", "ready", "reports"):
+        address = getattr(cfg, name)
+        if address in used:
+            report.add(name, f"the same address as {used[address]}")
+        used[address] = name
+    if cfg.link_port == cfg.metrics_port:
+        report.add("metrics_port", "the same port as link_port")
+    terms.read(cfg.terms, cfg.report_interval, report)
+
+
+def terms_of(cfg: Settings) -> runtime.Terms:
+    """Return the terms of the deployment; settings that were loaded have no faults."""
+    return terms.read(cfg.terms, cfg.report_interval, findings.Report(file=""))
--- a/ferrydeck/config/options.py
+++ b/ferrydeck/config/options.py
@@ -125,6 +125,23 @@
         )
 
 
+@attrs.define(kw_only=True, frozen=True)
+class Table:
+    """A table with any keys, each value checked by `item`."""
+
+    item: Any
+
+    def check(self, value: Any, place: str, report: findings.Report) -> Any:
+        """Return `value` as a dictionary, or report why it can't be used."""
+        if not isinstance(value, Mapping):
+            report.add(place, f"expected a table, got {kind_of(value)}")
+            return {}
+        return {
+            key: self.item.check(entry, join(place, key), report)
+            for key, entry in value.items()
+        }
+
+
 @attrs.define(kw_only=True, frozen=True)
 class Section:
     """A table that is read into a class of options."""
--- /dev/null
+++ b/ferrydeck/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a daemon whose policy and members come from the platform's store."""
--- /dev/null
+++ b/ferrydeck/mesh/choosing.py
@@ -0,0 +1,120 @@
+"""The choice of a server: which daemon's gate a request goes to."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import gate, messages, peers, runtime
+
+FAR_PENALTY = 0.35
+"""What another zone adds to a gate's load over its slots: bytes between zones are
+priced, and a near gate at two thirds of its slots answers as fast as a free one."""
+SUSPECT_PENALTY = 3.0
+FAILED_PENALTY = 1.5
+"""What a server that fails or refuses all requests adds to its load."""
+COLD_PENALTY = 0.3
+"""What a server adds that is still slow after its start."""
+FAILED_WEIGHT = 0.1
+"""Weight of the newest request in the running share of failed ones."""
+FAILED_PROBE = 0.03
+"""Share of requests that are sent to a failing server all the same, so that it is
+seen when it is well again."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Own:
+    """The gate of this box."""
+
+    instance: str
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Far:
+    """The gate of another box."""
+
+    peer: peers.Peer
+    instance: str
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Nobody:
+    """No gate of the service takes work."""
+
+    known: int
+    """How many gates of the service there are."""
+
+
+Choice = Own | Far | Nobody
+
+
+@attrs.define(kw_only=True)
+class Chooser:
+    """Chooses among the gates of a service by load, zone and recent failures."""
+
+    rt: runtime.Runtime
+    peers: peers.Peers
+    gate: gate.Gate
+    own_failed: float = 0.0
+    _by_service: dict[str, list[peers.Peer]] = attrs.Factory(dict)
+
+    def choose(self, now: float, service: str, tried: set[str]) -> Choice:
+        """Return the gate for a request, not one of `tried`."""
+        candidates = self._candidates(service)
+        best: Choice = Nobody(known=len(candidates))
+        best_score = float("inf")
+        own = self.rt.identity
+        mine = own.service == service and own.address not in tried
+        if mine and self.gate.phase is messages.Phase.READY and not self.gate.stopping:
+            best = Own(instance=self.gate.instance)
+            best_score = self._own_score(now)
+        for peer in candidates:
+            if peer.address in tried or not peer.open:
+                continue
+            score = self._score(now, peer)
+            if score < best_score:
+                best_score = score
+                best = Far(peer=peer, instance=peer.gate.instance)
+        return best
+
+    def ended(self, peer: peers.Peer | None, failed: bool) -> None:
+        """Note how a request that reached a server ended."""
+        if peer is None:
+            self.own_failed += FAILED_WEIGHT * (failed - self.own_failed)
+        else:
+            peer.failed += FAILED_WEIGHT * (failed - peer.failed)
+
+    def _own_score(self, now: float) -> float:
+        score = self.gate.busy / self.gate.limit
+        if now < self.gate.cold_until:
+            score += COLD_PENALTY
+        return score + self._failed_penalty(self.own_failed) + self._jitter()
+
+    def _score(self, now: float, peer: peers.Peer) -> float:
+        state = peer.gate
+        score = peer.busy(now) / max(1, state.slots)
+        if peer.zone != self.rt.identity.zone:
+            score += FAR_PENALTY
+        if peer.suspect(now):
+            score += SUSPECT_PENALTY
+        if state.cold_s > 0:
+            score += COLD_PENALTY
+        return score + self._failed_penalty(peer.failed) + self._jitter()
+
+    def _failed_penalty(self, failed: float) -> float:
+        if failed < FAILED_WEIGHT or self.rt.rng.random() < FAILED_PROBE:
+            return 0.0
+        return FAILED_PENALTY * failed
+
+    def _jitter(self) -> float:
+        """Spread requests over gates that stand alike."""
+        return 0.05 * self.rt.rng.random()
+
+    def _candidates(self, service: str) -> list[peers.Peer]:
+        if self.peers.changed:
+            self.peers.changed = False
+            self._by_service = {}
+            for peer in self.peers.by_address.values():
+                if peer.gate is not None:
+                    known = self._by_service.setdefault(peer.gate.service, [])
+                    known.append(peer)
+        return self._by_service.get(service, [])
--- /dev/null
+++ b/ferrydeck/mesh/core.py
@@ -0,0 +1,460 @@
+"""The core of one daemon: an event and a time in, the effects that follow out."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import attrs
+
+from ferrydeck.mesh import (
+    budget,
+    choosing,
+    effects,
+    events,
+    gate,
+    messages,
+    origin,
+    peers,
+    policy,
+    registry,
+    runtime,
+    store,
+)
+
+GATE_CLOSES_S = 1.2
+"""From a signal to stop until the gate takes no new work, seconds: callers of this
+box need two missed checks of readiness, a second apart, to go elsewhere."""
+STAY_S = 3.0
+"""From a signal to stop until the process may end, seconds: the same checks, and
+requests that were sent before the second one."""
+END_MARGIN_S = 0.5
+"""Time before the end of the grace at which the process ends at the latest."""
+LEAVE_TICK_S = 0.1
+SETTLE_S = 0.7
+"""How long a daemon that starts looks for other daemons before it calls itself
+ready, seconds: seven dials of a box in its own zone."""
+RELAY_S = 0.8
+"""How long a report that was handed on to a gate waits for its word, seconds: the
+server waits for one second."""
+ASK_EVERY_S = 0.2
+"""Pause between two requests for the same newer policy, seconds."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class LeaveTimer:
+    """Time to see whether a daemon that stops may end."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class RelayTimer:
+    """A report that was handed on has had its time."""
+
+    number: int
+
+
+@attrs.define(kw_only=True)
+class PeerLink:
+    """A link that another daemon dialled."""
+
+    box: str = ""
+    address: str = ""
+    floor_s: float = float("inf")
+    """The least difference of the two clocks seen on it, seconds."""
+
+    def delay_s(self, now: float, sent_s: float) -> float:
+        """Return how long a message was on its way, above the least time seen."""
+        difference = now - sent_s
+        self.floor_s = min(self.floor_s, difference)
+        return difference - self.floor_s
+
+
+@attrs.define(kw_only=True)
+class Core:
+    """All decisions of one daemon; it reads no clock and does no input or output."""
+
+    identity: runtime.Identity
+    rng: random.Random
+    terms: runtime.Terms = runtime.Terms()
+    seeds: tuple[str, ...] = ()
+    rt: runtime.Runtime = attrs.field(init=False)
+    peers: peers.Peers = attrs.field(init=False)
+    gate: gate.Gate = attrs.field(init=False)
+    origin: origin.Origin = attrs.field(init=False)
+    registry: registry.Registry = attrs.field(init=False)
+    links: dict[int, PeerLink] = attrs.Factory(dict)
+    ended: bool = False
+    _relays: dict[int, int] = attrs.Factory(dict)
+    _started: float = 0.0
+    _stop_at: float = 0.0
+    _asked_at: float = -1e9
+
+    def __attrs_post_init__(self) -> None:
+        rt = runtime.Runtime(identity=self.identity, rng=self.rng, terms=self.terms)
+        self.rt = rt
+        self.peers = peers.Peers(rt=rt)
+        self.gate = gate.Gate(rt=rt, reply=self._reply, announce=self._announce)
+        spending = budget.RetryBudget(
+            ratio=self.terms.retry_ratio,
+            slack=self.terms.retry_slack,
+            window_s=self.terms.retry_window_s,
+        )
+        self.origin = origin.Origin(
+            rt=rt,
+            peers=self.peers,
+            chooser=choosing.Chooser(rt=rt, peers=self.peers, gate=self.gate),
+            gate=self.gate,
+            budget=spending,
+        )
+        self.registry = registry.Registry(
+            rt=rt,
+            offer_policy=self._offered,
+            boxes_found=self._boxes_found,
+            box_written=self.peers.learn,
+            box_gone=self.peers.unlisted,
+        )
+
+    def start(self, now: float) -> list[effects.Effect]:
+        """Return the effects that a start brings."""
+        self._started = now
+        for seed in self.seeds:
+            self.peers.greet(now, seed)
+        self.peers.start(now)
+        self.origin.start(now)
+        self.registry.start(now)
+        return self._collect(now)
+
+    def handle(self, now: float, event: events.Event) -> list[effects.Effect]:
+        """Return the effects that an event brings, and those of due timers."""
+        self._on_event(now, event)
+        return self._collect(now)
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next timer, or `None`."""
+        return self.rt.next_wake()
+
+    def ready(self, now: float) -> bool:
+        """Tell whether callers of this box may send requests here."""
+        if self.rt.policy is None or self.rt.stopping:
+            return False
+        if now - self._started >= SETTLE_S:
+            return True
+        return self.registry.seen_boxes and self._all_linked()
+
+    def _all_linked(self) -> bool:
+        known = self.peers.by_address.values()
+        return all(peer.link is peers.Link.UP for peer in known)
+
+    def _collect(self, now: float) -> list[effects.Effect]:
+        while (timer := self.rt.due(now)) is not None:
+            self._on_timer(now, timer)
+        out, self.rt.out = self.rt.out, []
+        return out
+
+    def _on_event(self, now: float, event: events.Event) -> None:
+        match event:
+            case events.RequestTaken():
+                self.origin.taken(now, event)
+            case events.LinkMessage(address=address, message=message):
+                self._on_link(now, address, message)
+            case events.PeerMessage(link=link, message=message):
+                self._on_peer(now, link, message)
+            case events.ServerAnswered():
+                self.gate.answered(now, event)
+            case events.ServerPart():
+                self.gate.part(now, event)
+            case events.ServerFailed():
+                self.gate.failed(now, event)
+            case events.CallerGone(conn=conn):
+                self.origin.caller_gone(now, conn)
+            case events.CallerTook(conn=conn, size=size):
+                self.origin.caller_took(now, conn, size)
+            case events.LinkUp(address=address):
+                self.peers.link_up(now, address)
+            case events.LinkDown(address=address):
+                self._link_down(now, address)
+            case events.PeerLinkDown(link=link):
+                self.links.pop(link, None)
+                self.gate.link_down(now, link)
+            case events.ProbeAnswered():
+                self.gate.probed(now, event)
+            case events.Beat():
+                self._on_beat(now, event)
+            case events.StoreAnswered(request=request, result=result):
+                self.registry.answered(now, request, result)
+            case events.PolicyRead(policy=new, source=source):
+                self._offered(now, new, source)
+            case events.StopAsked():
+                self._stop(now)
+            case events.Wake():
+                pass
+
+    def _on_timer(self, now: float, timer: Any) -> None:
+        match timer:
+            case origin.DeadlineTimer(number=number):
+                self.origin.deadline(now, number)
+            case origin.AgainTimer(number=number):
+                self.origin.again(now, number)
+            case origin.SilentTimer():
+                self.origin.look_for_silent(now)
+            case gate.QueueTimer():
+                self.gate.look(now)
+            case gate.ProbeTimer():
+                self.gate.probe(now)
+            case peers.PeersTimer():
+                self._tick_peers(now)
+            case registry.AskTimer(request=request):
+                self.registry.due(request)
+            case RelayTimer(number=number):
+                self._relayed(number, False)
+            case LeaveTimer():
+                self._check_left(now)
+
+    def _tick_peers(self, now: float) -> None:
+        linked = {peer for peer in self.peers.by_address.values() if peer.out}
+        self.peers.tick(now)
+        for peer in linked:
+            if peer.link is peers.Link.DOWN:
+                self.origin.link_down(now, peer)
+
+    def _link_down(self, now: float, address: str) -> None:
+        peer = self.peers.link_down(now, address)
+        if peer is not None:
+            self.origin.link_down(now, peer)
+
+    def _on_link(self, now: float, address: str, message: messages.Any) -> None:
+        """Act on a word of a daemon that this one dialled."""
+        peer = self.peers.heard(now, address)
+        if peer is None:
+            return
+        match message:
+            case messages.Answer():
+                self.origin.answered(now, peer, message)
+            case messages.Part():
+                self.origin.part(now, peer, message)
+            case messages.Refused():
+                self.origin.refused(now, peer, message)
+            case messages.Broken():
+                self.origin.broken(now, peer, message)
+            case messages.Pong(version=version, busy=busy, level=level):
+                peer.told(now, busy, level)
+                self._heard_version(now, peer, version)
+            case messages.GateState():
+                self.peers.gate_told(now, peer, message)
+                self._heard_version(now, peer, message.version)
+            case messages.Welcome():
+                self.peers.welcomed(now, peer, message)
+                self.origin.budget.see_daemons(1 + len(self.peers.by_address))
+                self._heard_version(now, peer, message.gate.version)
+            case messages.PolicyGive(raw=raw):
+                self._given(now, raw, peer.box)
+            case messages.BeatRelayed(number=number, taken=taken):
+                self._relayed(number, taken)
+
+    def _on_peer(self, now: float, link: int, message: messages.Any) -> None:
+        """Act on a word of a daemon that dialled this one."""
+        if isinstance(message, messages.Hello):
+            self._greeted(now, link, message)
+            return
+        peer_link = self.links.get(link)
+        if peer_link is None:
+            return
+        match message:
+            case messages.Forward():
+                delay_s = peer_link.delay_s(now, message.sent_s)
+                self.gate.submit(now, link, message, delay_s)
+            case messages.Cancel(number=number):
+                self.gate.cancel(now, link, number)
+            case messages.Credit(number=number, size=size):
+                self.gate.credit(link, number, size)
+            case messages.Ping(version=version, sent_s=sent_s):
+                peer_link.delay_s(now, sent_s)
+                self._pinged(now, link, version)
+            case messages.PolicyAsk():
+                self._give_policy(link)
+            case messages.PolicyGive(raw=raw):
+                self._given(now, raw, peer_link.box)
+            case messages.BeatRelay():
+                self._on_relay(now, link, message)
+
+    def _greeted(self, now: float, link: int, hello: messages.Hello) -> None:
+        peer_link = PeerLink(box=hello.box, address=hello.address)
+        peer_link.delay_s(now, hello.sent_s)
+        self.links[link] = peer_link
+        self.peers.greet(now, hello.address)
+        self.gate.mark_left(now, hello.left)
+        welcome = messages.Welcome(
+            box=self.identity.box,
+            incarnation=self.identity.incarnation,
+            zone=self.identity.zone,
+            gate=self.gate.state(now),
+            sent_s=now,
+        )
+        self._send_back(link, welcome)
+        self._ask_back(now, link, hello.version)
+
+    def _pinged(self, now: float, link: int, version: int) -> None:
+        pong = messages.Pong(
+            version=self.rt.version, busy=self.gate.busy, level=self.gate.level(now)
+        )
+        self._send_back(link, pong)
+        self._ask_back(now, link, version)
+
+    def _ask_back(self, now: float, link: int, version: int) -> None:
+        """Ask for a newer policy on a link that another daemon dialled."""
+        if version > self.rt.version and now - self._asked_at >= ASK_EVERY_S:
+            self._asked_at = now
+            self._send_back(link, messages.PolicyAsk())
+
+    def _heard_version(self, now: float, peer: peers.Peer, version: int) -> None:
+        """Ask for a newer policy on a link that this daemon dialled."""
+        if version > self.rt.version and now - self._asked_at >= ASK_EVERY_S:
+            self._asked_at = now
+            self.peers.send(now, peer, messages.PolicyAsk())
+
+    def _give_policy(self, link: int) -> None:
+        held = self.rt.policy
+        if held is not None:
+            give = messages.PolicyGive(version=held.version, raw=held.raw)
+            self._send_back(link, give)
+
+    def _given(self, now: float, raw: bytes, source: str) -> None:
+        """Have a policy read that another daemon gave."""
+        self.rt.emit(effects.ReadPolicy(raw=raw, source=source))
+
+    def _offered(self, now: float, new: policy.Policy, source: str) -> None:
+        """Put a policy in force, unless it is older than the one that is."""
+        if new.version <= self.rt.version:
+            return
+        old = self.rt.version
+        self.rt.policy = new
+        self.origin.splits.clear()
+        self.rt.note("policy-in-force", version=new.version, old=old, source=source, raw=new.raw.decode())
+        limits = new.limits
+        self.rt.emit(
+            effects.UseLimits(
+                head_bytes=limits.head_bytes,
+                body_bytes=limits.body_bytes,
+                head_s=limits.head_s,
+                idle_s=limits.idle_s,
+            )
+        )
+        self._announce(now)
+        self.gate.probe(now)
+
+    def _boxes_found(self, now: float, records: tuple[store.BoxRecord, ...]) -> None:
+        self.peers.only(now, records)
+
+    def _reply(self, now: float, job: gate.Job, message: messages.Any) -> None:
+        """Carry a gate's word back to where the request began."""
+        if job.link != gate.OWN:
+            self._send_back(job.link, message)
+            return
+        match message:
+            case messages.Answer():
+                self.origin.answered(now, None, message)
+            case messages.Part():
+                self.origin.part(now, None, message)
+            case messages.Refused():
+                self.origin.refused(now, None, message)
+            case messages.Broken():
+                self.origin.broken(now, None, message)
+
+    def _announce(self, now: float) -> None:
+        """Tell all daemons how this box's gate stands."""
+        state = self.gate.state(now)
+        for link in self.links:
+            self._send_back(link, state)
+
+    def _send_back(self, link: int, message: messages.Any) -> None:
+        self.rt.emit(effects.SendBack(link=link, message=message))
+
+    def _on_beat(self, now: float, beat: events.Beat) -> None:
+        """Take the report of a server, or hand it on to the gate that it is beside."""
+        ip = beat.address.rpartition(":")[0]
+        own = beat.address == self.identity.server_address
+        if own or (beat.gone and self._may_be_own(beat.instance)):
+            taken = self.gate.beat(now, beat)
+            self.rt.emit(effects.AnswerBeat(conn=beat.conn, taken=taken))
+            return
+        peer = self.peers.at_ip(ip) if ip else self._peer_of(beat.instance)
+        if peer is None or peer.link is not peers.Link.UP:
+            self.rt.note("report", outcome="refused", instance=beat.instance)
+            self.rt.emit(effects.AnswerBeat(conn=beat.conn, taken=False))
+            return
+        number = self.rt.number()
+        self._relays[number] = beat.conn
+        self.rt.at(now + RELAY_S, RelayTimer(number=number))
+        relay = messages.BeatRelay(
+            number=number,
+            instance=beat.instance,
+            service=beat.service,
+            address=beat.address,
+            slots=beat.slots,
+            sequence=beat.sequence,
+            ready=beat.ready,
+            gone=beat.gone,
+            cold_s=beat.cold_s,
+        )
+        self.peers.send(now, peer, relay)
+
+    def _may_be_own(self, instance: str) -> bool:
+        """Tell whether a report without address can be about this box's server."""
+        gate = self.gate
+        return instance == gate.instance or instance in gate.left or not gate.instance
+
+    def _peer_of(self, instance: str) -> peers.Peer | None:
+        """Return the daemon beside a lifetime of a server."""
+        for peer in self.peers.by_address.values():
+            if peer.gate is not None and peer.gate.instance == instance:
+                return peer
+        return None
+
+    def _on_relay(self, now: float, link: int, relay: messages.BeatRelay) -> None:
+        beat = events.Beat(
+            conn=0,
+            instance=relay.instance,
+            service=relay.service,
+            address=relay.address,
+            slots=relay.slots,
+            sequence=relay.sequence,
+            ready=relay.ready,
+            gone=relay.gone,
+            cold_s=relay.cold_s,
+        )
+        taken = self.gate.beat(now, beat)
+        self._send_back(link, messages.BeatRelayed(number=relay.number, taken=taken))
+
+    def _relayed(self, number: int, taken: bool) -> None:
+        conn = self._relays.pop(number, None)
+        if conn is not None:
+            self.rt.emit(effects.AnswerBeat(conn=conn, taken=taken))
+
+    def _stop(self, now: float) -> None:
+        """Leave: callers first, then the gate, then the process."""
+        if self.rt.stopping:
+            return
+        self.rt.stopping = True
+        self._stop_at = now
+        self.rt.note("stop", outcome="asked", calls=len(self.origin.by_conn))
+        self.registry.leave()
+        self.rt.at(now + LEAVE_TICK_S, LeaveTimer())
+
+    def _check_left(self, now: float) -> None:
+        since = now - self._stop_at
+        if since >= GATE_CLOSES_S and not self.gate.stopping:
+            self.gate.stop(now)
+            self.rt.emit(effects.StopTaking())
+        idle = not self.origin.by_conn and not self.gate.busy
+        over = since >= self.terms.grace_s - END_MARGIN_S
+        if over or (since >= STAY_S and idle):
+            self.ended = True
+            self.rt.note(
+                "stop",
+                outcome="ended",
+                calls=len(self.origin.by_conn),
+                jobs=self.gate.busy,
+            )
+            self.rt.emit(effects.End())
+            return
+        self.rt.at(now + LEAVE_TICK_S, LeaveTimer())
--- /dev/null
+++ b/ferrydeck/mesh/events.py
@@ -0,0 +1,205 @@
+"""What happens to the core of a daemon."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import messages, policy, store
+
+
+@attrs.define(kw_only=True, frozen=True)
+class RequestTaken:
+    """A whole request came in from a client or from the server of this box."""
+
+    conn: int
+    method: str
+    target: str
+    host: str
+    request_id: str
+    deadline_s: float | None
+    """How long the caller waits, seconds; `None` where it did not say."""
+    fields: messages.Fields
+    """Header fields to be passed on."""
+    body: bytes
+    inner: bool
+    """Whether the server of this box sent it."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class CallerGone:
+    """A caller closed its connection before its answer was out."""
+
+    conn: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class CallerTook:
+    """A caller has taken bytes of a long answer."""
+
+    conn: int
+    size: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class LinkUp:
+    """A link that was dialled stands."""
+
+    address: str
+
+
+@attrs.define(kw_only=True, frozen=True)
+class LinkDown:
+    """A link that was dialled ended, or could not be made."""
+
+    address: str
+    made: bool
+    """Whether it had stood."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class LinkMessage:
+    """A message on a link that was dialled from here."""
+
+    address: str
+    message: messages.Any
+
+
+@attrs.define(kw_only=True, frozen=True)
+class PeerMessage:
+    """A message on a link that another daemon dialled."""
+
+    link: int
+    message: messages.Any
+
+
+@attrs.define(kw_only=True, frozen=True)
+class PeerLinkDown:
+    """A link that another daemon dialled ended."""
+
+    link: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ServerAnswered:
+    """The head of the server's answer, with all of its body or the first part."""
+
+    dispatch: int
+    status: int
+    fields: messages.Fields
+    body: bytes
+    more: bool
+    total: int
+    facts: AnswerFacts
+
+
+@attrs.define(kw_only=True, frozen=True)
+class AnswerFacts:
+    """What an answer's fields say to the gate."""
+
+    not_run: bool = False
+    """The server says that it did not run the request."""
+    sealed: bool = False
+    """The answer carries the server's mark of a whole answer."""
+    instance: str = ""
+    load: ServerLoad | None = None
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ServerLoad:
+    """Load as a server tells it."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ServerPart:
+    """A further part of a long answer."""
+
+    dispatch: int
+    data: bytes
+    last: bool
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ServerFailed:
+    """No whole answer of the server will come."""
+
+    dispatch: int
+    sent: bool
+    """Whether any byte of the request may have reached it."""
+    refused: bool
+    """Whether it took no connection at all."""
+    detail: str
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ProbeAnswered:
+    """The health check of the server was answered, or failed."""
+
+    well: bool
+    instance: str
+    slots: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Beat:
+    """A server reports."""
+
+    conn: int
+    instance: str
+    service: str
+    address: str
+    slots: int
+    sequence: int
+    ready: bool
+    gone: bool
+    cold_s: float
+
+
+@attrs.define(kw_only=True, frozen=True)
+class StoreAnswered:
+    """The store answered a request, or did not."""
+
+    request: store.Request
+    result: store.Result
+
+
+@attrs.define(kw_only=True, frozen=True)
+class PolicyRead:
+    """A policy that another daemon gave was read."""
+
+    policy: policy.Policy
+    source: str
+
+
+@attrs.define(kw_only=True, frozen=True)
+class StopAsked:
+    """The process is to end."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Wake:
+    """Timers are due."""
+
+
+Event = (
+    RequestTaken
+    | CallerGone
+    | CallerTook
+    | LinkUp
+    | LinkDown
+    | LinkMessage
+    | PeerMessage
+    | PeerLinkDown
+    | ServerAnswered
+    | ServerPart
+    | ServerFailed
+    | ProbeAnswered
+    | Beat
+    | StoreAnswered
+    | PolicyRead
+    | StopAsked
+    | Wake
+)
--- /dev/null
+++ b/ferrydeck/mesh/gate.py
@@ -0,0 +1,504 @@
+"""The gate of a server: the one place that decides whether a request reaches it.
+
+Only the daemon beside a server can reach it. So what the gate refuses has not
+run, and what must hold for a server (no new work when it leaves, no more than
+its slots, one lifetime, time left) is decided here alone, whatever the other
+daemons believe.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from ferrydeck.mesh import effects, events, messages, policy, runtime
+
+QUEUE_TICK_S = 0.02
+"""How often waiting requests are looked at, seconds."""
+LEAST_LEFT_S = 0.01
+"""A request with less time left than this is not started, seconds."""
+UNKNOWN_SLOTS = 8
+"""Requests at a server at once while its slots are not known."""
+HOLD_START_S = 0.1
+"""What a request is taken to hold a slot for until one has ended, seconds."""
+HOLD_WEIGHT = 0.05
+"""Weight of the newest holding time in the running mean."""
+PROBE_RETRY_S = 0.5
+"""Pause before a server that failed its health check is asked again, seconds."""
+QUEUE_MOST = 4
+"""Requests that wait at most, as a multiple of the slots."""
+RETRY_AFTER_LEAST_S = 0.05
+RETRY_AFTER_MOST_S = 1.0
+"""Bounds of the time after which a refused caller is told to come back, seconds."""
+STALL_S = 1.0
+"""A server that holds requests and has answered nothing for this long, and whose
+last report is older than two intervals, takes no new work, seconds."""
+OWN = 0
+"""The link number of requests that began on this box."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class QueueTimer:
+    """Time to look at the requests that wait."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ProbeTimer:
+    """Time to ask the server whether it is well."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """A request at the gate."""
+
+    dispatch: int
+    link: int
+    forward: messages.Forward
+    arrived: float
+    deadline: float
+    """When the caller waits no longer, on this daemon's clock."""
+    wait_until: float
+    """When it is refused if it has not been started."""
+    started: float = 0.0
+    streaming: bool = False
+
+    @property
+    def order(self) -> tuple[int, int, float]:
+        """Return its place among the requests that wait: the smallest goes first.
+
+        Calls of servers go before requests from outside, since the slots that
+        their callers hold elsewhere are lost if they fail.
+        """
+        return (0 if self.forward.inner else 1, self.forward.priority, self.arrived)
+
+
+@attrs.define(kw_only=True)
+class Gate:
+    """Admits requests to the server of this box and carries their answers back."""
+
+    rt: runtime.Runtime
+    reply: Callable[[float, Job, messages.Any], None]
+    announce: Callable[[float], None]
+    phase: messages.Phase = messages.Phase.UNKNOWN
+    instance: str = ""
+    slots: int = 0
+    cold_until: float = 0.0
+    stopping: bool = False
+    running: dict[int, Job] = attrs.Factory(dict)
+    waiting: list[Job] = attrs.Factory(list)
+    by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
+    hold_s: float = HOLD_START_S
+    left: set[str] = attrs.Factory(set)
+    """Lifetimes of the server that have said that they leave."""
+    _sequences: dict[str, int] = attrs.Factory(dict)
+    _ready_said: str = ""
+    """The lifetime whose last report said that it is ready."""
+    _probing: bool = False
+    _queue_timer: bool = False
+    _answered_at: float = 0.0
+    _beat_at: float = 0.0
+
+    @property
+    def busy(self) -> int:
+        """Requests at the server and waiting for it."""
+        return len(self.running) + len(self.waiting)
+
+    @property
+    def limit(self) -> int:
+        """Requests at the server at once."""
+        return self.slots or UNKNOWN_SLOTS
+
+    def state(self, now: float) -> messages.GateState:
+        """Return how the gate stands, to be told to the other daemons."""
+        phase = messages.Phase.STOPPING if self.stopping else self.phase
+        return messages.GateState(
+            phase=phase,
+            instance=self.instance,
+            service=self.rt.identity.service,
+            slots=self.limit,
+            cold_s=max(0.0, self.cold_until - now),
+            version=self.rt.version,
+        )
+
+    def probe(self, now: float) -> None:
+        """Ask the server whether it is well, unless it was asked already."""
+        service = self._service()
+        if service is None or self._probing or self.phase is messages.Phase.READY:
+            return
+        self._probing = True
+        self.rt.emit(effects.Probe(path=service.health_path))
+
+    def probed(self, now: float, event: events.ProbeAnswered) -> None:
+        """Open for a server that is well, not leaving, and whose lifetime is known."""
+        self._probing = False
+        usable = event.well and event.instance and event.instance not in self.left
+        if not usable:
+            if self.phase is messages.Phase.UNKNOWN:
+                self.rt.at(now + PROBE_RETRY_S, ProbeTimer())
+            return
+        self.slots = event.slots or self.slots
+        self._open(now, event.instance, "probe")
+
+    def beat(self, now: float, beat: events.Beat) -> bool:
+        """Take a report of the server; tell whether it may be acknowledged."""
+        last = self._sequences.get(beat.instance, -1)
+        if beat.sequence <= last and not beat.gone:
+            return True
+        self._sequences[beat.instance] = max(last, beat.sequence)
+        if beat.gone or not beat.ready:
+            self._leave(now, beat.instance, "gone" if beat.gone else "draining")
+            return True
+        if beat.instance in self.left:
+            return True
+        other = self.instance and beat.instance != self.instance
+        if other and self.phase is messages.Phase.READY and last >= 0:
+            # An old lifetime's late word after the new one's.
+            return True
+        self._beat_at = now
+        self.slots = beat.slots or self.slots
+        self.cold_until = max(self.cold_until, now + beat.cold_s)
+        self._ready_said = beat.instance
+        if self.phase is messages.Phase.READY and self.instance == beat.instance:
+            return True
+        if self.phase is messages.Phase.UNKNOWN:
+            # The word may be older than a leaving that an earlier process of
+            # this daemon acknowledged: only the server knows.
+            self.probe(now)
+            return True
+        self._open(now, beat.instance, "report")
+        return True
+
+    def mark_left(self, now: float, instances: list[str]) -> None:
+        """Take the word of another daemon that lifetimes of the server have left."""
+        for instance in instances:
+            if instance not in self.left:
+                self._leave(now, instance, "told by a peer")
+
+    def stop(self, now: float) -> None:
+        """Take no new work, since the daemon is stopping."""
+        self.stopping = True
+        self.announce(now)
+        self._refuse_waiting(now, messages.Reason.CLOSED)
+
+    def submit(
+        self, now: float, link: int, forward: messages.Forward, delay_s: float
+    ) -> None:
+        """Admit a request, have it wait, or refuse it."""
+        job = self._job(now, link, forward, delay_s)
+        reason = self._fault(now, job)
+        if reason is not None:
+            self._refuse(now, job, reason)
+            return
+        self.by_number[link, forward.number] = job
+        if len(self.running) < self.limit and not self.waiting:
+            self._start(now, job)
+            return
+        self._wait(now, job)
+
+    def cancel(self, now: float, link: int, number: int) -> None:
+        """Drop a request that nobody waits for; one that must not repeat runs on."""
+        job = self.by_number.get((link, number))
+        if job is None:
+            return
+        if job in self.waiting:
+            self.waiting.remove(job)
+            self._forget(job)
+            self._refuse(now, job, messages.Reason.CANCELLED)
+            return
+        if not job.forward.repeatable:
+            return
+        self._end(now, job)
+        self.rt.emit(effects.CancelDispatch(dispatch=job.dispatch))
+        self._note(job, "cancelled", "caller-gone")
+        self._next(now)
+
+    def link_down(self, now: float, link: int) -> None:
+        """Drop the requests of a daemon that is not linked any more."""
+        for at, number in list(self.by_number):
+            if at == link:
+                self.cancel(now, link, number)
+
+    def credit(self, link: int, number: int, size: int) -> None:
+        """Read on in a long answer."""
+        job = self.by_number.get((link, number))
+        if job is not None:
+            self.rt.emit(effects.ReadServer(dispatch=job.dispatch, size=size))
+
+    def answered(self, now: float, event: events.ServerAnswered) -> None:
+        """Carry the server's answer, or the first part of it, back."""
+        job = self.running.get(event.dispatch)
+        if job is None:
+            return
+        self._answered_at = now
+        facts = event.facts
+        if facts.not_run:
+            self._server_refused(now, job, facts)
+            return
+        if 200 <= event.status < 300 and not facts.sealed:
+            self._break(now, job, messages.Reason.BAD_ANSWER)
+            self.rt.emit(effects.CancelDispatch(dispatch=event.dispatch))
+            return
+        if event.more:
+            job.streaming = True
+        else:
+            self._end(now, job)
+        answer = messages.Answer(
+            number=job.forward.number,
+            status=event.status,
+            fields=event.fields,
+            body=event.body,
+            more=event.more,
+            total=event.total,
+            busy=self.busy,
+            level=self.level(now),
+        )
+        self.reply(now, job, answer)
+        self._next(now)
+
+    def part(self, now: float, event: events.ServerPart) -> None:
+        """Carry a further part of a long answer back."""
+        job = self.running.get(event.dispatch)
+        if job is None:
+            return
+        self._answered_at = now
+        if event.last:
+            self._end(now, job)
+        number = job.forward.number
+        self.reply(
+            now, job, messages.Part(number=number, data=event.data, last=event.last)
+        )
+        self._next(now)
+
+    def failed(self, now: float, event: events.ServerFailed) -> None:
+        """Tell that no whole answer will come."""
+        job = self.running.get(event.dispatch)
+        if event.refused:
+            self._down(now, event.detail)
+        if job is None:
+            return
+        if not event.sent:
+            self._end(now, job)
+            self._refuse(now, job, messages.Reason.NOT_SENT)
+        else:
+            self._break(now, job, messages.Reason.SERVER_LOST)
+        self._next(now)
+
+    def look(self, now: float) -> None:
+        """Refuse what has waited too long."""
+        self._queue_timer = False
+        late = [job for job in self.waiting if now >= job.wait_until]
+        for job in late:
+            self.waiting.remove(job)
+            self._forget(job)
+            self._refuse(now, job, messages.Reason.OVERLOAD)
+        self._next(now)
+        self._keep_looking(now)
+
+    def level(self, now: float) -> float:
+        """Return how hard callers should hold back, 0 to 1."""
+        if not self.waiting:
+            return 0.0
+        return min(1.0, len(self.waiting) / (QUEUE_MOST * self.limit))
+
+    def _job(
+        self, now: float, link: int, forward: messages.Forward, delay_s: float
+    ) -> Job:
+        left_s = forward.left_s - delay_s
+        return Job(
+            dispatch=self.rt.number(),
+            link=link,
+            forward=forward,
+            arrived=now,
+            deadline=now + left_s,
+            wait_until=now + min(forward.wait_s - delay_s, left_s),
+        )
+
+    def _fault(self, now: float, job: Job) -> messages.Reason | None:
+        """Return why a request can't be taken, if it can't."""
+        forward = job.forward
+        if job.deadline - now < LEAST_LEFT_S:
+            return messages.Reason.EXPIRED
+        if self.stopping or self.phase is not messages.Phase.READY:
+            return messages.Reason.CLOSED
+        if forward.service != self.rt.identity.service:
+            return messages.Reason.INSTANCE
+        if forward.instance != self.instance:
+            return messages.Reason.INSTANCE
+        if self._stalled(now):
+            return messages.Reason.CLOSED
+        return None
+
+    def _stalled(self, now: float) -> bool:
+        """Tell whether the server has fallen silent."""
+        if not self.running or not self._beat_at:
+            return False
+        oldest = min(job.started for job in self.running.values())
+        silent_s = now - max(oldest, self._answered_at)
+        beats = 2 * self.rt.terms.beat_s
+        return silent_s > STALL_S and now - self._beat_at > beats
+
+    def _wait(self, now: float, job: Job) -> None:
+        """Have a request wait, or refuse what is least urgent."""
+        self.waiting.append(job)
+        self.waiting.sort(key=lambda one: one.order)
+        if len(self.waiting) > QUEUE_MOST * self.limit:
+            self._drop(now, self.waiting[-1])
+        elif self._wait_s(job) > job.wait_until - now:
+            self._drop(now, job)
+        self._next(now)
+        self._keep_looking(now)
+
+    def _wait_s(self, job: Job) -> float:
+        """Return how long a request will wait, seconds."""
+        ahead = self.waiting.index(job) + 1
+        return ahead * self.hold_s / self.limit
+
+    def _drop(self, now: float, job: Job) -> None:
+        self.waiting.remove(job)
+        self._forget(job)
+        self._refuse(now, job, messages.Reason.OVERLOAD)
+
+    def _keep_looking(self, now: float) -> None:
+        if self.waiting and not self._queue_timer:
+            self._queue_timer = True
+            self.rt.at(now + QUEUE_TICK_S, QueueTimer())
+
+    def _next(self, now: float) -> None:
+        """Start what waits while there is room."""
+        while self.waiting and len(self.running) < self.limit:
+            job = self.waiting.pop(0)
+            if job.deadline - now < LEAST_LEFT_S:
+                self._forget(job)
+                self._refuse(now, job, messages.Reason.EXPIRED)
+                continue
+            self._start(now, job)
+
+    def _start(self, now: float, job: Job) -> None:
+        job.started = now
+        self.running[job.dispatch] = job
+        forward = job.forward
+        self.rt.emit(
+            effects.Dispatch(
+                dispatch=job.dispatch,
+                method=forward.method,
+                target=forward.target,
+                fields=forward.fields,
+                body=forward.body,
+                request_id=forward.request_id,
+                instance=forward.instance,
+                caller=forward.caller,
+                left_s=job.deadline - now,
+            )
+        )
+
+    def _end(self, now: float, job: Job) -> None:
+        """Take a request off the server's slots."""
+        self.running.pop(job.dispatch, None)
+        self._forget(job)
+        held = now - job.started
+        self.hold_s += HOLD_WEIGHT * (held - self.hold_s)
+
+    def _forget(self, job: Job) -> None:
+        self.by_number.pop((job.link, job.forward.number), None)
+
+    def _break(self, now: float, job: Job, reason: messages.Reason) -> None:
+        self._end(now, job)
+        self._note(job, "broken", reason)
+        number = job.forward.number
+        self.reply(
+            now, job, messages.Broken(number=number, reason=reason, busy=self.busy)
+        )
+
+    def _server_refused(self, now: float, job: Job, facts: events.AnswerFacts) -> None:
+        self._end(now, job)
+        if facts.instance and facts.instance != self.instance:
+            self._other_instance(now, facts.instance)
+        self._refuse(now, job, messages.Reason.SERVER_REFUSED, offered=True)
+        self._next(now)
+
+    def _other_instance(self, now: float, instance: str) -> None:
+        """Close until the lifetime that answers now has reported or is well."""
+        self.rt.note("server-changed", instance=instance, expected=self.instance)
+        self.phase = messages.Phase.UNKNOWN
+        self.instance = ""
+        self.announce(now)
+        self._refuse_waiting(now, messages.Reason.INSTANCE)
+        self.probe(now)
+
+    def _refuse(
+        self,
+        now: float,
+        job: Job,
+        reason: messages.Reason,
+        *,
+        offered: bool = False,
+    ) -> None:
+        """Tell that a request has not run and will not run here."""
+        self._note(job, "refused", reason)
+        refused = messages.Refused(
+            number=job.forward.number,
+            reason=reason,
+            retry_after_s=self._retry_after_s(),
+            offered=offered,
+            busy=self.busy,
+            level=self.level(now),
+        )
+        self.reply(now, job, refused)
+
+    def _retry_after_s(self) -> float:
+        """Return when there will be room again, spread so that callers are too."""
+        clear_s = (len(self.waiting) + 1) * self.hold_s / self.limit
+        spread = 0.75 + 0.5 * self.rt.rng.random()
+        return min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, clear_s * spread))
+
+    def _refuse_waiting(self, now: float, reason: messages.Reason) -> None:
+        waiting, self.waiting = self.waiting, []
+        for job in waiting:
+            self._forget(job)
+            self._refuse(now, job, reason)
+
+    def _open(self, now: float, instance: str, why: str) -> None:
+        self.phase = messages.Phase.READY
+        self.instance = instance
+        self._beat_at = now
+        self.rt.note("server-ready", instance=instance, reason=why, slots=self.limit)
+        self.announce(now)
+
+    def _leave(self, now: float, instance: str, why: str) -> None:
+        """Close for a lifetime of the server that leaves, for good."""
+        if instance in self.left:
+            return
+        self.left.add(instance)
+        self.rt.note("server-leaving", instance=instance, reason=why)
+        if self.instance in ("", instance):
+            self.instance = instance
+            self.phase = messages.Phase.LEAVING
+            self.announce(now)
+            self._refuse_waiting(now, messages.Reason.CLOSED)
+
+    def _down(self, now: float, detail: str) -> None:
+        """Close for a server that takes no connection, until it reports anew."""
+        if self.phase is not messages.Phase.READY:
+            return
+        self.rt.note("server-lost", instance=self.instance, reason=detail)
+        self.phase = messages.Phase.DOWN
+        self.announce(now)
+        self._refuse_waiting(now, messages.Reason.CLOSED)
+
+    def _service(self) -> policy.Service | None:
+        if self.rt.policy is None:
+            return None
+        return self.rt.policy.services.get(self.rt.identity.service)
+
+    def _note(self, job: Job, outcome: str, reason: str) -> None:
+        self.rt.note(
+            "gate",
+            request_id=job.forward.request_id,
+            outcome=outcome,
+            reason=reason,
+            running=len(self.running),
+            waiting=len(self.waiting),
+            limit=self.limit,
+            left_ms=round(1000 * (job.deadline - job.arrived)),
+        )
--- /dev/null
+++ b/ferrydeck/mesh/messages.py
@@ -0,0 +1,249 @@
+"""The messages between daemons on a link: arrays, as bytes between zones are dear."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+PROTOCOL = 2
+Fields = list[tuple[str, str]]
+"""Header fields in the order in which they came."""
+
+
+class Reason(enum.StrEnum):
+    """Why a request was not run, or why its fate is not known."""
+
+    NO_POLICY = "no-policy"
+    NO_ROUTE = "no-route"
+    NO_SERVER = "no-server"
+    CLOSED = "closed"
+    """The gate takes no new work: its daemon or its server is leaving."""
+    INSTANCE = "instance"
+    """Another lifetime of the server answers there."""
+    OVERLOAD = "overload"
+    EXPIRED = "expired"
+    CANCELLED = "cancelled"
+    SERVER_REFUSED = "server-refused"
+    """The server said itself that it did not run the request."""
+    NOT_SENT = "not-sent"
+    LINK_LOST = "link-lost"
+    SERVER_LOST = "server-lost"
+    BAD_ANSWER = "bad-answer"
+    TIMEOUT = "timeout"
+    BUDGET = "budget"
+    MEMORY = "memory"
+
+
+class Phase(enum.StrEnum):
+    """How a gate stands towards its server."""
+
+    UNKNOWN = "unknown"
+    READY = "ready"
+    LEAVING = "leaving"
+    DOWN = "down"
+    STOPPING = "stopping"
+    """The daemon itself is stopping."""
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What all messages have in common."""
+
+
+class GateState(Message, tag=1):
+    """The server beside a daemon as its gate sees it."""
+
+    phase: str
+    instance: str
+    service: str
+    slots: int
+    cold_s: float
+    """How long the server will still be slow after its start, seconds."""
+    version: int
+    """Version of the policy in force there; 0 for none."""
+
+
+class Hello(Message, tag=2):
+    """The first message on a link, from the daemon that dialled."""
+
+    protocol: int
+    box: str
+    incarnation: int
+    address: str
+    """Where the sender takes links."""
+    zone: str
+    version: int
+    sent_s: float
+    left: list[str]
+    """Lifetimes of the receiver's server that the sender knows to have left."""
+
+
+class Welcome(Message, tag=3):
+    """The answer to a `Hello`."""
+
+    box: str
+    incarnation: int
+    zone: str
+    gate: GateState
+    sent_s: float
+
+
+class Ping(Message, tag=4):
+    """Keeps a link alive and tells the version of the policy in force."""
+
+    version: int
+    sent_s: float
+
+
+class Pong(Message, tag=5):
+    """The answer to a `Ping`, with the load of the server."""
+
+    version: int
+    busy: int
+    level: float
+
+
+class PolicyAsk(Message, tag=6):
+    """Asks for the policy in force at the other side."""
+
+
+class PolicyGive(Message, tag=7):
+    """The policy in force, as the store holds it."""
+
+    version: int
+    raw: bytes
+
+
+class Forward(Message, tag=8):
+    """A request for the server beside the receiver."""
+
+    number: int
+    request_id: str
+    instance: str
+    service: str
+    """The service that the server is to belong to."""
+    caller: str
+    """The service on whose box the request began."""
+    method: str
+    target: str
+    fields: Fields
+    body: bytes
+    sent_s: float
+    left_s: float
+    """Time left when this was sent, seconds."""
+    wait_s: float
+    """How long it may wait for a slot, seconds."""
+    priority: int
+    inner: bool
+    """Whether a server called, not a client from outside."""
+    repeatable: bool
+
+
+class Cancel(Message, tag=9):
+    """The caller does not wait for a request any more."""
+
+    number: int
+
+
+class Credit(Message, tag=10):
+    """Asks for further bytes of a long answer."""
+
+    number: int
+    size: int
+
+
+class Answer(Message, tag=11):
+    """The server's answer: all of it, or the head and first part of a long one."""
+
+    number: int
+    status: int
+    fields: Fields
+    body: bytes
+    more: bool
+    total: int
+    """Length of the body, bytes; -1 where the server did not tell."""
+    busy: int
+    """Requests at the server and in the gate's queue."""
+    level: float
+
+
+class Part(Message, tag=12):
+    """A further part of a long answer."""
+
+    number: int
+    data: bytes
+    last: bool
+
+
+class Broken(Message, tag=13):
+    """No whole answer will come; the request may have run."""
+
+    number: int
+    reason: str
+    busy: int
+
+
+class Refused(Message, tag=14):
+    """The request was not run here and will not be."""
+
+    number: int
+    reason: str
+    retry_after_s: float
+    offered: bool
+    """Whether the server itself was asked and said no."""
+    busy: int
+    level: float
+
+
+class BeatRelay(Message, tag=15):
+    """News of a server that reported to another daemon than the one beside it."""
+
+    number: int
+    instance: str
+    service: str
+    address: str
+    slots: int
+    sequence: int
+    ready: bool
+    gone: bool
+    cold_s: float
+
+
+class BeatRelayed(Message, tag=16):
+    """The gate has acted on a `BeatRelay`."""
+
+    number: int
+    taken: bool
+
+
+Any = (
+    GateState
+    | Hello
+    | Welcome
+    | Ping
+    | Pong
+    | PolicyAsk
+    | PolicyGive
+    | Forward
+    | Cancel
+    | Credit
+    | Answer
+    | Part
+    | Broken
+    | Refused
+    | BeatRelay
+    | BeatRelayed
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Any)
+
+
+def encode(message: Any) -> bytes:
+    """Return the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Any:
+    """Return the message in `data`; raises `msgspec.DecodeError`."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/ferrydeck/mesh/origin.py
@@ -0,0 +1,506 @@
+"""The callers' side: requests that begin on this box, from intake to final answer."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import (
+    budget,
+    choosing,
+    effects,
+    events,
+    gate,
+    messages,
+    peers,
+    policy,
+    runtime,
+    splits,
+)
+
+WAIT_SHARE = 0.25
+"""Part of its target that a request from outside waits for a slot at most: a
+refusal within a quarter of the target still earns half when it comes back."""
+INNER_WAIT_SHARE = 0.6
+"""Part of its time that a call of a server waits for a slot at most: its caller
+fails without it, and all that was done for it is lost."""
+TOP_WAIT_SHARE = 0.5
+"""Part of its target that a request of the highest rank waits at most."""
+HOPS = 4
+"""Gates that one request is shown to at most, those that refuse it included."""
+PAUSE_S = 0.03
+"""Pause before a request is tried again for which no gate was open, seconds."""
+DEADLINE_SLACK_S = 0.02
+"""How long before its deadline a request gets its final answer, seconds."""
+LEAST_RETRY_S = 0.03
+"""A request with less time left than this is not sent again, seconds."""
+RETRY_AFTER_S = 0.3
+"""When a caller is told to come back where no gate said so, seconds."""
+STARTING_RETRY_S = 1.0
+"""When a caller is told to come back that a daemon without policy refused."""
+SILENT_EVERY_S = 0.1
+"""How often requests at silent boxes are looked for, seconds."""
+SILENT_S = 0.6
+"""How long a box with a repeatable request may be silent before the request is
+sent to another one, seconds."""
+
+MAYBE_RUN_STATUS = 502
+LATE_STATUS = 504
+NOT_RUN_STATUS = 503
+
+
+@attrs.define(kw_only=True, frozen=True)
+class DeadlineTimer:
+    """A caller has waited as long as it may."""
+
+    number: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class AgainTimer:
+    """Time to look for a gate again."""
+
+    number: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class SilentTimer:
+    """Time to look for requests at silent boxes."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Call:
+    """A request that began on this box and has no final answer yet."""
+
+    number: int
+    conn: int
+    route: policy.Route
+    service: str
+    request: events.RequestTaken
+    started: float
+    deadline: float
+    give_up_at: float
+    """Until when a gate is looked for before the caller is refused."""
+    tried: set[str] = attrs.Factory(set)
+    hops: int = 0
+    offered: int = 0
+    """Servers that were asked, also those that said no."""
+    attempt: int = 0
+    """Number of the attempt that is out; 0 for none."""
+    peer: peers.Peer | None = None
+    """Where the attempt is; `None` for this box's own gate."""
+    may_have_run: bool = False
+    streaming: bool = False
+    policy_version: int = 0
+
+    @property
+    def request_id(self) -> str:
+        """The id that the caller gave."""
+        return self.request.request_id
+
+
+@attrs.define(kw_only=True)
+class Origin:
+    """Carries the requests that begin on this box to gates and back."""
+
+    rt: runtime.Runtime
+    peers: peers.Peers
+    chooser: choosing.Chooser
+    gate: gate.Gate
+    budget: budget.RetryBudget
+    splits: splits.Splits = attrs.Factory(splits.Splits)
+    by_conn: dict[int, Call] = attrs.Factory(dict)
+    by_number: dict[int, Call] = attrs.Factory(dict)
+    by_attempt: dict[int, Call] = attrs.Factory(dict)
+
+    def start(self, now: float) -> None:
+        """Begin to look for requests at silent boxes."""
+        self.rt.at(now + SILENT_EVERY_S, SilentTimer())
+
+    def taken(self, now: float, request: events.RequestTaken) -> None:
+        """Take a request."""
+        if self.rt.policy is None:
+            self._decline(request, NOT_RUN_STATUS, messages.Reason.NO_POLICY, 1.0)
+            return
+        route = self.rt.policy.find(request.host, request.target)
+        if route is None:
+            self._decline(request, 404, messages.Reason.NO_ROUTE, None)
+            return
+        call = self._call(now, request, route)
+        self.by_conn[call.conn] = call
+        self.by_number[call.number] = call
+        self.budget.fresh(now, call.service)
+        self.rt.at(call.deadline - DEADLINE_SLACK_S, DeadlineTimer(number=call.number))
+        self._try(now, call)
+
+    def caller_gone(self, now: float, conn: int) -> None:
+        """Drop the request of a caller that went away."""
+        call = self.by_conn.get(conn)
+        if call is None:
+            return
+        self._withdraw(now, call)
+        self._finish(now, call, "caller-gone", "")
+
+    def caller_took(self, now: float, conn: int, size: int) -> None:
+        """Have more of a long answer sent, since the caller took some."""
+        call = self.by_conn.get(conn)
+        if call is None or not call.attempt:
+            return
+        if call.peer is None:
+            self.gate.credit(gate.OWN, call.attempt, size)
+            return
+        credit = messages.Credit(number=call.attempt, size=size)
+        self.peers.send(now, call.peer, credit)
+
+    def answered(
+        self, now: float, peer: peers.Peer | None, message: messages.Answer
+    ) -> None:
+        """Give the caller the server's answer, or ask another server."""
+        call = self._current(peer, message.number)
+        if call is None:
+            return
+        self._told(now, peer, message)
+        failed = message.status >= 500
+        self.chooser.ended(peer, failed)
+        if failed and not message.more and self._may_repeat(now, call):
+            self._end_attempt(call)
+            call.may_have_run = True
+            self._try(now, call)
+            return
+        self.rt.emit(
+            effects.Reply(
+                conn=call.conn,
+                status=message.status,
+                fields=message.fields,
+                body=message.body,
+                more=message.more,
+                total=message.total,
+            )
+        )
+        if message.more:
+            call.streaming = True
+            return
+        self._end_attempt(call)
+        self._finish(now, call, "answered", str(message.status))
+
+    def part(self, now: float, peer: peers.Peer | None, message: messages.Part) -> None:
+        """Pass a further part of a long answer on."""
+        call = self._current(peer, message.number)
+        if call is None:
+            return
+        self.rt.emit(
+            effects.ReplyPart(conn=call.conn, data=message.data, last=message.last)
+        )
+        if message.last:
+            self._end_attempt(call)
+            self._finish(now, call, "answered", "stream")
+
+    def broken(
+        self, now: float, peer: peers.Peer | None, message: messages.Broken
+    ) -> None:
+        """Act on an attempt that may have run and gives no whole answer."""
+        call = self._current(peer, message.number)
+        if call is None:
+            return
+        self.chooser.ended(peer, True)
+        self._lost(now, call, message.reason)
+
+    def refused(
+        self, now: float, peer: peers.Peer | None, message: messages.Refused
+    ) -> None:
+        """Act on an attempt that was not run."""
+        call = self._current(peer, message.number)
+        if call is None:
+            return
+        self._told(now, peer, message)
+        self._end_attempt(call)
+        if not message.offered:
+            call.offered -= 1
+            self._elsewhere(now, call, message.reason, message.retry_after_s)
+            return
+        self.chooser.ended(peer, True)
+        if self._may_offer_again(now, call):
+            self._try(now, call)
+            return
+        self._refuse(now, call, message.reason, message.retry_after_s)
+
+    def link_down(self, now: float, peer: peers.Peer) -> None:
+        """Act on the loss of a link: its attempts may have run."""
+        for number in list(peer.out):
+            call = self.by_attempt.get(number)
+            if call is not None:
+                self._lost(now, call, messages.Reason.LINK_LOST)
+        peer.out.clear()
+
+    def deadline(self, now: float, number: int) -> None:
+        """Give a caller whose time is over its final answer."""
+        call = self.by_number.get(number)
+        if call is None or call.streaming:
+            return
+        sent = bool(call.attempt)
+        self._withdraw(now, call)
+        if sent or call.may_have_run:
+            self._give_up(now, call, LATE_STATUS, messages.Reason.TIMEOUT)
+            return
+        self._refuse(now, call, messages.Reason.TIMEOUT, RETRY_AFTER_S)
+
+    def again(self, now: float, number: int) -> None:
+        """Look for a gate again."""
+        call = self.by_number.get(number)
+        if call is not None and not call.attempt:
+            self._try(now, call)
+
+    def look_for_silent(self, now: float) -> None:
+        """Send repeatable requests that are at silent boxes to other ones."""
+        self.rt.at(now + SILENT_EVERY_S, SilentTimer())
+        for peer in self.peers.by_address.values():
+            if not peer.out or now - peer.waiting_since < SILENT_S:
+                continue
+            for number in list(peer.out):
+                call = self.by_attempt.get(number)
+                if call is not None and not call.streaming:
+                    self._move(now, call)
+
+    def _move(self, now: float, call: Call) -> None:
+        if not call.route.repeatable or not self._may_repeat(now, call):
+            return
+        self._withdraw(now, call)
+        call.may_have_run = True
+        self._note(call, "moved", "silent")
+        self._try(now, call)
+
+    def _call(
+        self, now: float, request: events.RequestTaken, route: policy.Route
+    ) -> Call:
+        held_s = route.timeout_s
+        if request.deadline_s is not None:
+            held_s = min(held_s, request.deadline_s)
+        service = self.splits.service(route, self.rt.rng.random())
+        return Call(
+            number=self.rt.number(),
+            conn=request.conn,
+            route=route,
+            service=service,
+            request=request,
+            started=now,
+            deadline=now + held_s,
+            give_up_at=now + self._patience_s(request, route, held_s),
+            policy_version=self.rt.version,
+        )
+
+    def _patience_s(
+        self, request: events.RequestTaken, route: policy.Route, held_s: float
+    ) -> float:
+        """Return how long a request may wait before a server has it, seconds."""
+        if request.inner:
+            return INNER_WAIT_SHARE * held_s
+        share = TOP_WAIT_SHARE if route.priority == 0 else WAIT_SHARE
+        return min(share * route.target_s, held_s / 2)
+
+    def _try(self, now: float, call: Call) -> None:
+        """Send the request to a gate."""
+        if call.deadline - now < LEAST_RETRY_S:
+            self._no_time(now, call)
+            return
+        choice = self.chooser.choose(now, call.service, call.tried)
+        match choice:
+            case choosing.Nobody(known=known):
+                self._nobody(now, call, known)
+            case choosing.Own(instance=instance):
+                self._forward(now, call, None, instance)
+            case choosing.Far(peer=peer, instance=instance):
+                self._forward(now, call, peer, instance)
+
+    def _forward(
+        self, now: float, call: Call, peer: peers.Peer | None, instance: str
+    ) -> None:
+        number = self.rt.number()
+        call.attempt = number
+        call.peer = peer
+        call.hops += 1
+        call.offered += 1
+        self.by_attempt[number] = call
+        request = call.request
+        forward = messages.Forward(
+            number=number,
+            request_id=call.request_id,
+            instance=instance,
+            service=call.service,
+            caller=self.rt.identity.service,
+            method=request.method,
+            target=request.target,
+            fields=request.fields,
+            body=request.body,
+            sent_s=now,
+            left_s=call.deadline - now,
+            wait_s=max(0.0, call.give_up_at - now),
+            priority=call.route.priority,
+            inner=request.inner,
+            repeatable=call.route.repeatable,
+        )
+        if peer is None:
+            call.tried.add(self.rt.identity.address)
+            self.gate.submit(now, gate.OWN, forward, 0.0)
+            return
+        call.tried.add(peer.address)
+        peer.out[number] = now
+        self.peers.send(now, peer, forward)
+
+    def _current(self, peer: peers.Peer | None, number: int) -> Call | None:
+        """Return the call that a word about an attempt belongs to."""
+        call = self.by_attempt.get(number)
+        if call is not None and call.peer is peer:
+            return call
+        if peer is not None:
+            peer.out.pop(number, None)
+        return None
+
+    def _told(
+        self,
+        now: float,
+        peer: peers.Peer | None,
+        message: messages.Answer | messages.Refused,
+    ) -> None:
+        if peer is not None:
+            peer.told(now, message.busy, message.level)
+
+    def _end_attempt(self, call: Call) -> None:
+        self.by_attempt.pop(call.attempt, None)
+        if call.peer is not None:
+            call.peer.out.pop(call.attempt, None)
+        call.attempt = 0
+        call.peer = None
+
+    def _withdraw(self, now: float, call: Call) -> None:
+        """Have the attempt that is out dropped, where there is one."""
+        number, peer = call.attempt, call.peer
+        if not number:
+            return
+        self._end_attempt(call)
+        if peer is None:
+            self.gate.cancel(now, gate.OWN, number)
+        elif peer.link is peers.Link.UP:
+            self.peers.send(now, peer, messages.Cancel(number=number))
+
+    def _elsewhere(
+        self, now: float, call: Call, reason: str, retry_after_s: float
+    ) -> None:
+        """Show a request that was not run to another gate, or refuse it."""
+        if call.hops < HOPS and now < call.give_up_at:
+            self._try(now, call)
+            return
+        self._refuse(now, call, reason, retry_after_s)
+
+    def _nobody(self, now: float, call: Call, known: int) -> None:
+        """Look again soon, as long as a refusal is still early."""
+        if now + PAUSE_S < call.give_up_at and call.hops < HOPS:
+            call.tried.clear()
+            self.rt.at(now + PAUSE_S, AgainTimer(number=call.number))
+            return
+        self._refuse(now, call, messages.Reason.NO_SERVER, RETRY_AFTER_S)
+
+    def _no_time(self, now: float, call: Call) -> None:
+        if call.may_have_run:
+            self._give_up(now, call, LATE_STATUS, messages.Reason.TIMEOUT)
+            return
+        self._refuse(now, call, messages.Reason.EXPIRED, RETRY_AFTER_S)
+
+    def _lost(self, now: float, call: Call, reason: str) -> None:
+        """Act on an attempt of which no answer will come."""
+        self._end_attempt(call)
+        call.may_have_run = True
+        if call.streaming:
+            self.rt.emit(effects.Abort(conn=call.conn))
+            self._finish(now, call, "aborted", reason)
+            return
+        if self._may_repeat(now, call):
+            self._try(now, call)
+            return
+        self._give_up(now, call, MAYBE_RUN_STATUS, reason)
+
+    def _may_repeat(self, now: float, call: Call) -> bool:
+        """Tell whether a request may run at another server, and pay for it."""
+        return call.route.repeatable and self._may_offer_again(now, call)
+
+    def _may_offer_again(self, now: float, call: Call) -> bool:
+        if call.offered >= call.route.attempts or call.hops >= HOPS:
+            return False
+        if call.deadline - now < LEAST_RETRY_S:
+            return False
+        if not self.budget.may_spend(now, call.service):
+            self._note(call, "not-repeated", messages.Reason.BUDGET)
+            return False
+        self._note(call, "repeated", "")
+        return True
+
+    def _refuse(
+        self, now: float, call: Call, reason: str, retry_after_s: float
+    ) -> None:
+        """Tell a caller that its request was not run, and when to come back."""
+        if call.may_have_run:
+            self._give_up(now, call, MAYBE_RUN_STATUS, reason)
+            return
+        self.rt.emit(
+            effects.Decline(
+                conn=call.conn,
+                status=NOT_RUN_STATUS,
+                reason=reason,
+                retry_after_s=retry_after_s,
+            )
+        )
+        self._finish(now, call, "refused", reason)
+
+    def _give_up(self, now: float, call: Call, status: int, reason: str) -> None:
+        """Tell a caller that nothing is known of its request's fate."""
+        self.rt.emit(effects.Decline(conn=call.conn, status=status, reason=reason))
+        self._finish(now, call, "unknown", reason)
+
+    def _decline(
+        self,
+        request: events.RequestTaken,
+        status: int,
+        reason: str,
+        retry_after_s: float | None,
+    ) -> None:
+        self.rt.emit(
+            effects.Decline(
+                conn=request.conn,
+                status=status,
+                reason=reason,
+                retry_after_s=retry_after_s,
+            )
+        )
+        self.rt.note(
+            "request",
+            request_id=request.request_id,
+            outcome="declined",
+            reason=reason,
+            host=request.host,
+            target=request.target,
+            version=self.rt.version,
+        )
+
+    def _finish(self, now: float, call: Call, outcome: str, reason: str) -> None:
+        self.by_conn.pop(call.conn, None)
+        self.by_number.pop(call.number, None)
+        self._note(call, outcome, reason, ms=round(1000 * (now - call.started), 1))
+        self.rt.emit(
+            effects.Finished(
+                route=call.route.name, outcome=outcome, seconds=now - call.started
+            )
+        )
+
+    def _note(self, call: Call, outcome: str, reason: str, **more: object) -> None:
+        self.rt.note(
+            "request",
+            request_id=call.request_id,
+            outcome=outcome,
+            reason=reason,
+            route=call.route.name,
+            service=call.service,
+            inner=call.request.inner,
+            version=call.policy_version,
+            peer=call.peer.box if call.peer is not None else "",
+            offered=call.offered,
+            hops=call.hops,
+            **more,
+        )
--- /dev/null
+++ b/ferrydeck/mesh/peers.py
@@ -0,0 +1,293 @@
+"""The other daemons: who they are, whether they are heard, how their gates stand."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from ferrydeck.mesh import effects, messages, runtime, store
+
+TICK_S = 0.1
+"""How often links are looked after, seconds."""
+PING_IDLE_S = 0.5
+"""A link on which nothing was sent for this long gets a ping, seconds: an idle
+fleet of 15 then sends some 30 small messages a second from each daemon."""
+PING_WAITING_S = 0.1
+"""A link on which an answer is waited for this long gets a ping, seconds."""
+SUSPECT_S = 0.35
+"""No word for this long after something was sent makes a box suspect, seconds:
+three ticks and the pause of a busy loop."""
+HANG_S = 1.5
+"""A link that is silent for this long is dialled anew, seconds: the kernel would
+wait longer and longer before it sends again what a cut has swallowed."""
+DIAL_S = 1.0
+"""A dial that takes longer is given up, seconds."""
+REDIAL_S = 0.25
+"""Pause before a lost link is dialled again, seconds."""
+REDIAL_MOST_S = 1.0
+"""The longest pause between two dials, seconds: a box that is back is wanted."""
+FORGET_S = 10.0
+"""A box without record and link is forgotten after this long, seconds."""
+OVERSTATED_S = 0.5
+"""How long a told load counts, seconds; it fades over that time."""
+
+
+class Link(enum.Enum):
+    """How the link to a daemon stands."""
+
+    DOWN = "down"
+    DIALLING = "dialling"
+    GREETING = "greeting"
+    UP = "up"
+
+
+@attrs.define(kw_only=True, frozen=True)
+class PeersTimer:
+    """Time to look after the links."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Peer:
+    """Another daemon as this one sees it."""
+
+    address: str
+    box: str = ""
+    incarnation: int = 0
+    zone: str = ""
+    link: Link = Link.DOWN
+    gate: messages.GateState | None = None
+    listed: bool = False
+    """Whether its record is in the store, as far as known."""
+    heard: float = -1e9
+    sent: float = -1e9
+    pinged: float = -1e9
+    waiting_since: float = float("inf")
+    """When the first message was sent that nothing was heard after."""
+    dial_at: float = 0.0
+    dial_pause_s: float = REDIAL_S
+    unlisted_at: float = 0.0
+    out: dict[int, float] = attrs.Factory(dict)
+    """Requests sent there and not answered, with the time of sending."""
+    told_busy: int = 0
+    """Requests there, as last told, less those sent from here."""
+    told_at: float = -1e9
+    level: float = 0.0
+    """How hard the box asks callers to hold back, 0 to 1."""
+    failed: float = 0.0
+    """Recent share of requests that its server failed or refused."""
+    version: int = 0
+
+    def suspect(self, now: float) -> bool:
+        """Tell whether something was sent and nothing heard for some time."""
+        return now - self.waiting_since > SUSPECT_S
+
+    @property
+    def open(self) -> bool:
+        """Tell whether its gate takes new work."""
+        gate = self.gate
+        ready = gate is not None and gate.phase == messages.Phase.READY
+        return ready and self.link is Link.UP
+
+    def told(self, now: float, busy: int, level: float) -> None:
+        """Note the load that the box tells."""
+        self.told_busy = max(0, busy - len(self.out))
+        self.told_at = now
+        self.level = level
+
+    def busy(self, now: float) -> float:
+        """Return how many requests are likely there now."""
+        share = max(0.0, 1.0 - (now - self.told_at) / OVERSTATED_S)
+        return len(self.out) + self.told_busy * share
+
+
+@attrs.define(kw_only=True)
+class Peers:
+    """The table of daemons and the links to them."""
+
+    rt: runtime.Runtime
+    by_address: dict[str, Peer] = attrs.Factory(dict)
+    left: dict[str, set[str]] = attrs.Factory(dict)
+    """Lifetimes of servers that are known to have left, by box."""
+    changed: bool = True
+    """Set when candidates may have changed; whoever caches them clears it."""
+
+    def start(self, now: float) -> None:
+        """Begin to look after links."""
+        self.rt.at(now + TICK_S, PeersTimer())
+
+    def learn(self, now: float, record: store.BoxRecord) -> None:
+        """Take the record of a daemon."""
+        if record.address == self.rt.identity.address:
+            return
+        peer = self._peer(now, record.address)
+        peer.listed = True
+        if record.incarnation >= peer.incarnation:
+            peer.box = record.box
+            peer.zone = record.zone
+        self.changed = True
+
+    def greet(self, now: float, address: str) -> None:
+        """Know a daemon by its address only: it dialled here, or is a seed."""
+        if address == self.rt.identity.address or address in self.by_address:
+            return
+        peer = self._peer(now, address)
+        peer.unlisted_at = now
+
+    def unlisted(self, now: float, box: str) -> None:
+        """Note that a daemon's record went."""
+        for peer in self.by_address.values():
+            if peer.box == box and peer.listed:
+                peer.listed = False
+                peer.unlisted_at = now
+
+    def only(self, now: float, records: tuple[store.BoxRecord, ...]) -> None:
+        """Take all records that there are."""
+        boxes = {one.box for one in records}
+        for peer in list(self.by_address.values()):
+            if peer.listed and peer.box not in boxes:
+                self.unlisted(now, peer.box)
+        for record in records:
+            self.learn(now, record)
+
+    def tick(self, now: float) -> None:
+        """Dial, ping and hang up as it is due."""
+        self.rt.at(now + TICK_S, PeersTimer())
+        for peer in list(self.by_address.values()):
+            match peer.link:
+                case Link.DOWN:
+                    self._down(now, peer)
+                case Link.DIALLING | Link.GREETING:
+                    if now >= peer.dial_at:
+                        self.hang(now, peer, "no greeting")
+                case Link.UP:
+                    self._up(now, peer)
+
+    def link_up(self, now: float, address: str) -> None:
+        """Greet a daemon to which a link was made."""
+        peer = self.by_address.get(address)
+        if peer is None or peer.link is not Link.DIALLING:
+            return
+        peer.link = Link.GREETING
+        identity = self.rt.identity
+        hello = messages.Hello(
+            protocol=messages.PROTOCOL,
+            box=identity.box,
+            incarnation=identity.incarnation,
+            address=identity.address,
+            zone=identity.zone,
+            version=self.rt.version,
+            sent_s=now,
+            left=sorted(self.left.get(peer.box, ())),
+        )
+        self.send(now, peer, hello)
+
+    def link_down(self, now: float, address: str) -> Peer | None:
+        """Note that a link ended; return the daemon it led to."""
+        peer = self.by_address.get(address)
+        if peer is None or peer.link is Link.DOWN:
+            return None
+        self._lost(now, peer, "ended")
+        return peer
+
+    def welcomed(self, now: float, peer: Peer, message: messages.Welcome) -> bool:
+        """Take a daemon's answer to the greeting; tell whether the box is new."""
+        fresh = peer.incarnation != message.incarnation
+        peer.link = Link.UP
+        peer.dial_pause_s = REDIAL_S
+        peer.box = message.box
+        peer.incarnation = message.incarnation
+        peer.zone = message.zone
+        self.rt.note(
+            "link-regained", peer=peer.box, address=peer.address, restarted=fresh
+        )
+        self.gate_told(now, peer, message.gate)
+        return fresh
+
+    def gate_told(self, now: float, peer: Peer, gate: messages.GateState) -> None:
+        """Take how a gate stands."""
+        old = peer.gate
+        peer.gate = gate
+        peer.version = max(peer.version, gate.version)
+        self.changed = True
+        if gate.phase == messages.Phase.LEAVING and gate.instance:
+            self.left.setdefault(peer.box, set()).add(gate.instance)
+        if old is None or (old.phase, old.instance) != (gate.phase, gate.instance):
+            peer.failed = 0.0
+            self.rt.note(
+                "server-seen",
+                outcome=gate.phase,
+                peer=peer.box,
+                service=gate.service,
+                instance=gate.instance,
+            )
+
+    def heard(self, now: float, address: str) -> Peer | None:
+        """Note a word of a daemon; return it."""
+        peer = self.by_address.get(address)
+        if peer is None:
+            return None
+        peer.heard = now
+        peer.waiting_since = float("inf")
+        return peer
+
+    def send(self, now: float, peer: Peer, message: messages.Any) -> None:
+        """Send a message to a daemon whose link stands."""
+        peer.sent = now
+        peer.waiting_since = min(peer.waiting_since, now)
+        self.rt.send(peer.address, message)
+
+    def hang(self, now: float, peer: Peer, why: str) -> None:
+        """Close a link, to be dialled anew."""
+        self.rt.emit(effects.Hang(address=peer.address))
+        self._lost(now, peer, why)
+
+    def at_ip(self, ip: str) -> Peer | None:
+        """Return the daemon at an IP number."""
+        for peer in self.by_address.values():
+            if peer.address.rpartition(":")[0] == ip:
+                return peer
+        return None
+
+    def _peer(self, now: float, address: str) -> Peer:
+        peer = self.by_address.get(address)
+        if peer is None:
+            peer = Peer(address=address, dial_at=now)
+            self.by_address[address] = peer
+            self.changed = True
+        return peer
+
+    def _down(self, now: float, peer: Peer) -> None:
+        if not peer.listed and now - max(peer.unlisted_at, peer.heard) > FORGET_S:
+            del self.by_address[peer.address]
+            self.changed = True
+            self.rt.note("member-lost", peer=peer.box, address=peer.address)
+            return
+        if now < peer.dial_at:
+            return
+        peer.link = Link.DIALLING
+        peer.dial_at = now + DIAL_S
+        peer.waiting_since = float("inf")
+        self.rt.emit(effects.Dial(address=peer.address))
+
+    def _up(self, now: float, peer: Peer) -> None:
+        silent_s = now - peer.waiting_since
+        if silent_s > HANG_S:
+            self.hang(now, peer, "silent")
+            return
+        idle = now - peer.sent >= PING_IDLE_S
+        waiting = silent_s >= PING_WAITING_S and peer.pinged < peer.waiting_since
+        if idle or waiting:
+            peer.pinged = now
+            ping = messages.Ping(version=self.rt.version, sent_s=now)
+            self.send(now, peer, ping)
+
+    def _lost(self, now: float, peer: Peer, why: str) -> None:
+        if peer.link is Link.UP:
+            self.rt.note("link-lost", reason=why, peer=peer.box, waiting=len(peer.out))
+        peer.link = Link.DOWN
+        peer.waiting_since = float("inf")
+        peer.dial_at = now + peer.dial_pause_s * (0.5 + self.rt.rng.random() / 2)
+        peer.dial_pause_s = min(REDIAL_MOST_S, 2 * peer.dial_pause_s)
+        peer.gate = None
+        self.changed = True
--- /dev/null
+++ b/ferrydeck/mesh/policy.py
@@ -0,0 +1,104 @@
+"""The policy that a platform's store holds: routes, services and limits."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Kind(enum.StrEnum):
+    """How often a request may run, and how large its answer is."""
+
+    SAFE = "safe"
+    ONCE = "once"
+    """At most once for each request of a caller."""
+    DOWNLOAD = "download"
+    """Safe, with a large answer."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Part:
+    """A service that gets a share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Route:
+    """Where requests of a host and a path prefix go, and on which terms."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    timeout_s: float
+    """The longest time that a request is held, seconds."""
+    target_s: float
+    """The time within which an answer earns its full benefit, seconds."""
+    priority: int
+    """Rank in the order of shedding; 0 is shed last."""
+    attempts: int
+    """The greatest number of servers that one request is sent to."""
+    parts: tuple[Part, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is not Kind.ONCE
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Service:
+    """What daemons need to know of the servers of one service."""
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Limits:
+    """What a caller may send, and how long it may take or rest."""
+
+    head_bytes: int = 16 * 1024
+    body_bytes: int = 64 * 1024 * 1024
+    head_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@attrs.define(kw_only=True)
+class Policy:
+    """One version of the policy, with its routes sorted for look-up."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: Limits = Limits()
+    raw: bytes = b""
+    """The policy as the store holds it, to be handed to other daemons."""
+    _by_host: dict[str, list[Route]] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._by_host = {}
+        for route in self.routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        bare = path.partition("?")[0]
+        for route in self._by_host.get(bare_host(host), ()):
+            if bare.startswith(route.prefix):
+                return route
+        return None
+
+
+def bare_host(host: str) -> str:
+    """Return a host in lower case without its port."""
+    name, colon, port = host.rpartition(":")
+    if colon and port.isdigit():
+        host = name
+    return host.strip().lower()
--- /dev/null
+++ b/ferrydeck/mesh/runtime.py
@@ -0,0 +1,103 @@
+"""What the parts of a daemon's core share: identity, policy, timers, effects."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from typing import Any
+
+import attrs
+
+from ferrydeck.mesh import effects, messages, policy
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Identity:
+    """Who this daemon is."""
+
+    box: str
+    incarnation: int
+    address: str
+    """Where it takes links."""
+    zone: str
+    service: str
+    server_address: str
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Terms:
+    """What was agreed with the users for a deployment."""
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 48.0
+    retry_window_s: float = 10.0
+    drain_s: float = 2.0
+    grace_s: float = 6.0
+    """From the signal to stop until the process is killed, seconds."""
+    beat_s: float = 1.5
+
+
+@attrs.define(kw_only=True)
+class Runtime:
+    """The common ground of the parts of one daemon's core."""
+
+    identity: Identity
+    rng: random.Random
+    terms: Terms = Terms()
+    policy: policy.Policy | None = None
+    stopping: bool = False
+    out: list[effects.Effect] = attrs.Factory(list)
+    _timers: list[tuple[float, int, Any]] = attrs.Factory(list)
+    _last: int = 0
+
+    @property
+    def version(self) -> int:
+        """The version of the policy in force; 0 for none."""
+        return self.policy.version if self.policy is not None else 0
+
+    def number(self) -> int:
+        """Return a number that this process has not used before."""
+        self._last += 1
+        return self._last
+
+    def emit(self, effect: effects.Effect) -> None:
+        """Ask for an effect."""
+        self.out.append(effect)
+
+    def send(self, address: str, message: messages.Any) -> None:
+        """Send a message on the link to a daemon."""
+        self.out.append(effects.Send(address=address, message=message))
+
+    def note(
+        self,
+        kind: str,
+        *,
+        request_id: str = "",
+        outcome: str = "",
+        reason: str = "",
+        **inputs: object,
+    ) -> None:
+        """Have a decision logged and counted."""
+        self.out.append(
+            effects.Note(
+                kind=kind,
+                request_id=request_id,
+                outcome=outcome,
+                reason=reason,
+                inputs=inputs,
+            )
+        )
+
+    def at(self, when: float, timer: Any) -> None:
+        """Have `timer` handled at `when`; its handler ignores a stale one."""
+        heapq.heappush(self._timers, (when, self.number(), timer))
+
+    def due(self, now: float) -> Any | None:
+        """Return a timer whose time has come, or `None`."""
+        if not self._timers or self._timers[0][0] > now:
+            return None
+        return heapq.heappop(self._timers)[2]
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next timer, or `None`."""
+        return self._timers[0][0] if self._timers else None
--- /dev/null
+++ b/ferrydeck/mesh/store.py
@@ -0,0 +1,155 @@
+"""Requests to the platform's store and their results, as data."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import policy
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ReadPolicy:
+    """Read the policy."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class WatchPolicy:
+    """Wait for a change of the policy after a revision."""
+
+    after: int
+    wait_s: float
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ReadBoxes:
+    """Read all records of boxes."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class WatchBoxes:
+    """Wait for a change of the records of boxes after a revision."""
+
+    after: int
+    wait_s: float
+
+
+@attrs.define(kw_only=True, frozen=True)
+class GrantLease:
+    """Ask for a lease."""
+
+    ttl_s: float
+
+
+@attrs.define(kw_only=True, frozen=True)
+class KeepLease:
+    """Renew a lease."""
+
+    lease: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class EndLease:
+    """End a lease, and with it the keys under it."""
+
+    lease: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class PutBox:
+    """Write this box's record under its lease."""
+
+    record: BoxRecord
+    lease: int
+
+
+Request = (
+    ReadPolicy
+    | WatchPolicy
+    | ReadBoxes
+    | WatchBoxes
+    | GrantLease
+    | KeepLease
+    | EndLease
+    | PutBox
+)
+
+
+@attrs.define(kw_only=True, frozen=True)
+class BoxRecord:
+    """How a daemon is found by the others."""
+
+    box: str
+    incarnation: int
+    address: str
+    """Where it takes links."""
+    zone: str
+    service: str
+
+
+@attrs.define(kw_only=True, frozen=True)
+class PolicyFound:
+    """The policy, or none (`policy` is `None`), as of a revision."""
+
+    policy: policy.Policy | None
+    at: int
+    fault: str = ""
+    """Why what the store holds can't be used; empty where it can."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class BoxesFound:
+    """All records, as of a revision."""
+
+    records: tuple[BoxRecord, ...]
+    at: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class BoxesChanged:
+    """Records that were written and boxes whose record went, as of a revision."""
+
+    written: tuple[BoxRecord, ...]
+    gone: tuple[str, ...]
+    at: int
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Leased:
+    """A lease was granted or renewed."""
+
+    lease: int
+    ttl_s: float
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Done:
+    """A write took effect."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class LeaseOver:
+    """There is no such lease any more."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class HistoryGone:
+    """The store does not know what happened since the revision asked for."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class NoAnswer:
+    """No answer, or a refusal; a write may have taken effect or still will."""
+
+    detail: str
+
+
+Result = (
+    PolicyFound
+    | BoxesFound
+    | BoxesChanged
+    | Leased
+    | Done
+    | LeaseOver
+    | HistoryGone
+    | NoAnswer
+)
--- /dev/null
+++ b/ferrydeck/mesh_metrics.py
@@ -0,0 +1,97 @@
+"""The metrics of a daemon under a policy from the store."""
+
+from __future__ import annotations
+
+import prometheus_client
+from prometheus_client import exposition
+
+from ferrydeck.mesh import core, effects, peers
+
+SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10)
+
+GAUGES = {
+    "policy_version": "Version of the policy in force; 0 for none.",
+    "calls_open": "Requests of this box's callers without final answer.",
+    "server_running": "Requests at the server of this box.",
+    "server_waiting": "Requests that wait for the server of this box.",
+    "server_limit": "Requests at the server at once.",
+    "peers_linked": "Daemons whose link stands.",
+    "peers_known": "Daemons that are known.",
+    "store_silent_seconds": "Time since the store last answered, seconds.",
+    "link_bytes_in": "Bytes received from other daemons.",
+    "link_bytes_out": "Bytes sent to other daemons.",
+    "server_connections_opened": "Connections opened to the server.",
+    "lines_left_out": "Log lines that were left out.",
+}
+
+
+class MeshMetrics:
+    """Counters that the driver feeds, and gauges that are read at each scrape."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.decisions = prometheus_client.Counter(
+            "ferrydeck_decisions",
+            "Decisions, by kind, outcome and reason.",
+            ("kind", "outcome", "reason"),
+            registry=self.registry,
+        )
+        self.seconds = prometheus_client.Histogram(
+            "ferrydeck_request_seconds",
+            "Time from a request's arrival to its final answer, seconds.",
+            ("route", "outcome"),
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.store_calls = prometheus_client.Counter(
+            "ferrydeck_store_calls",
+            "Calls of the platform's store, by call and result.",
+            ("call", "result"),
+            registry=self.registry,
+        )
+        self.gauges = {
+            name: prometheus_client.Gauge(
+                f"ferrydeck_{name}", text, registry=self.registry
+            )
+            for name, text in GAUGES.items()
+        }
+        self._children: dict[tuple[object, ...], object] = {}
+
+    def decided(self, note: effects.Note) -> None:
+        """Count a decision."""
+        reason = note.reason if note.outcome != "answered" else ""
+        self._child(self.decisions, note.kind, note.outcome, str(reason)).inc()
+
+    def finished(self, done: effects.Finished) -> None:
+        """Note how long a request took."""
+        self._child(self.seconds, done.route, done.outcome).observe(done.seconds)
+
+    def store_called(self, call: str, result: str) -> None:
+        """Count a call of the store."""
+        self._child(self.store_calls, call, result).inc()
+
+    def render(self, node: core.Core, now: float, **others: float) -> bytes:
+        """Return the text form of all metrics."""
+        known = node.peers.by_address.values()
+        values = {
+            "policy_version": node.rt.version,
+            "calls_open": len(node.origin.by_conn),
+            "server_running": len(node.gate.running),
+            "server_waiting": len(node.gate.waiting),
+            "server_limit": node.gate.limit,
+            "peers_linked": sum(one.link is peers.Link.UP for one in known),
+            "peers_known": len(known),
+            "store_silent_seconds": now - node.registry.answered_at,
+            **others,
+        }
+        for name, value in values.items():
+            self.gauges[name].set(value)
+        return exposition.generate_latest(self.registry)
+
+    def _child(self, metric: object, *labels: str) -> object:
+        """Return the child of a metric, kept since the look-up is dear."""
+        key = (metric, *labels)
+        child = self._children.get(key)
+        if child is None:
+            child = self._children[key] = metric.labels(*labels)
+        return child
--- /dev/null
+++ b/ferrydeck/net/collector.py
@@ -0,0 +1,16 @@
+"""The garbage collector of a daemon: settled once, after the start."""
+
+from __future__ import annotations
+
+import gc
+
+THRESHOLDS = (50_000, 20, 50)
+"""New objects until a collection, and collections until one of the next generation:
+a call makes some hundred objects, and the usual 700 would stop each tenth call."""
+
+
+def settle() -> None:
+    """Take what was made at the start out of the garbage collector's rounds."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*THRESHOLDS)
--- a/ferrydeck/net/driver.py
+++ b/ferrydeck/net/driver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import gc
 import time
 
 import circuits
@@ -13,6 +12,7 @@
 from ferrydeck.config import settings
 from ferrydeck.core import effects, events, node
 from ferrydeck.net import (
+    collector,
     http_client,
     http_server,
     links,
@@ -28,7 +28,6 @@
 """Time for the last messages to leave before the process ends, seconds."""
 SWEEP_EVERY_S = 1.0
 SETTLE_GC_S = 3.0
-GC_THRESHOLD = 50_000
 TARGET_CONNECTIONS = 4096
 """Connections to the target at most; the admission limit holds it lower."""
 LOST_REASONS = {
@@ -260,7 +259,7 @@
             self._count_peer_faults()
         if self._settle_gc_at and now >= self._settle_gc_at:
             self._settle_gc_at = 0.0
-            settle_gc()
+            collector.settle()
         self._end_if_done(now)
 
     def _count_peer_faults(self) -> None:
@@ -288,10 +287,3 @@
         self.peers.close()
         self.links.close()
         self.root.stop()
-
-
-def settle_gc() -> None:
-    """Take what was made at the start out of the garbage collector's rounds."""
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 20, 50)
--- a/ferrydeck/net/http.py
+++ b/ferrydeck/net/http.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import http
+import re
 
 from circuits.web.parsers import http as parsers
 
@@ -17,11 +18,17 @@
 REQUEST = 0
 RESPONSE = 1
 NO_BODY_STATUSES = frozenset({204, 304})
+UNCLEAR_LINES = re.compile(rb"(?<!\r)\n|\r(?!\n)|\r\n[ \t]")
+"""Line ends that hops read differently: a bare one, or a line that is folded."""
+CHUNKED = -1
+"""The length of a body in chunks."""
+UNTIL_CLOSE = -2
+"""The length of a body that ends with its connection."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestHead:
-    """The head of a request."""
+    """The head of a request; `length` is `CHUNKED` for a body in chunks."""
 
     method: str
     path: str
@@ -33,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ResponseHead:
-    """The head of a response; `length` is -1 for a chunked body."""
+    """The head of a response; `length` may be `CHUNKED` or `UNTIL_CLOSE`."""
 
     status: int
     headers: tuple[messages.Header, ...]
@@ -49,18 +56,28 @@
     detail: str
 
 
-def read_request(head: bytes) -> RequestHead | Malformed:
-    """Read the head of a request, its end included."""
+def read_request(
+    head: bytes, *, chunks: bool = False, most: int = MAX_BODY
+) -> RequestHead | Malformed:
+    """Read the head of a request, its end included.
+
+    `chunks` takes bodies in chunks, `most` is the longest body taken, bytes.
+    """
     parser = parse(head, REQUEST)
     if isinstance(parser, Malformed):
         return parser
     fields = parser.get_headers()
-    if fields.get("transfer-encoding") is not None:
+    coding = fields.get("transfer-encoding")
+    if coding is not None and not chunks:
         return Malformed(status=411, detail="a body needs a length")
     length = length_of(fields.get("content-length"))
     if length is None:
         return Malformed(status=400, detail="bad content-length")
-    if length > MAX_BODY:
+    if coding is not None:
+        if coding.lower() != "chunked" or "content-length" in fields:
+            return Malformed(status=400, detail="a body of unclear length")
+        length = CHUNKED
+    if length > most:
         return Malformed(status=413, detail="body too large")
     path = parser.get_url()
     if not path.startswith("/") or path.startswith("//"):
@@ -75,8 +92,13 @@
     )
 
 
-def read_response(head: bytes) -> ResponseHead | Malformed:
-    """Read the head of a response, its end included."""
+def read_response(
+    head: bytes, *, until_close: bool = False
+) -> ResponseHead | Malformed:
+    """Read the head of a response, its end included.
+
+    `until_close` takes a body without a length, which ends with its connection.
+    """
     parser = parse(head, RESPONSE)
     if isinstance(parser, Malformed):
         return parser
@@ -88,8 +110,11 @@
     if coding is not None:
         if coding.lower() != "chunked" or stated is not None:
             return Malformed(status=502, detail="bad transfer-encoding")
-        length = -1
-    if length is None or stated is coding is None and status not in NO_BODY_STATUSES:
+        length = CHUNKED
+    unstated = stated is coding is None and status not in NO_BODY_STATUSES
+    if unstated and until_close:
+        length = UNTIL_CLOSE
+    elif length is None or unstated:
         return Malformed(status=502, detail="an answer needs its length")
     return ResponseHead(
         status=status,
@@ -102,6 +127,8 @@
 def parse(head: bytes, kind: int) -> parsers.HttpParser | Malformed:
     """Parse a head; the library reads escapes in it, so backslashes are doubled."""
     status = 400 if kind == REQUEST else 502
+    if UNCLEAR_LINES.search(head):
+        return Malformed(status=status, detail="a bare line end or a folded line")
     data = head.replace(b"\\", b"\\\\")
     parser = parsers.HttpParser(kind)
     try:
@@ -155,14 +182,14 @@
 def response_head(
     status: int, headers: tuple[messages.Header, ...], length: int, *, close: bool
 ) -> bytes:
-    """Return the bytes of a response head."""
+    """Return the bytes of a response head; no length is stated below 0."""
     try:
         phrase = http.HTTPStatus(status).phrase
     except ValueError:
         phrase = "Status"
     lines = [f"HTTP/1.1 {status} {phrase}"]
     lines += [f"{one.name}: {clean(one.value)}" for one in headers]
-    if status not in NO_BODY_STATUSES:
+    if status not in NO_BODY_STATUSES and length >= 0:
         lines.append(f"content-length: {length}")
     lines.append("connection: close\r\n\r\n" if close else "\r\n")
     return "\r\n".join(lines).encode("latin-1", "replace")
--- a/ferrydeck/net/http_client.py
+++ b/ferrydeck/net/http_client.py
@@ -179,14 +179,8 @@
     def _connect(self) -> ClientConn | None:
         if len(self.conns) >= self.limit:
             return None
-        host, port = sockets.split_address(self.address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        code = sock.connect_ex((host, port))
-        if code not in (0, errno.EINPROGRESS):
-            sock.close()
+        sock = sockets.dial(self.address)
+        if sock is None:
             return None
         conn = ClientConn(sock=sock)
         self.adopt(conn)
--- /dev/null
+++ b/ferrydeck/net/ingress.py
@@ -0,0 +1,323 @@
+"""The HTTP endpoints of a daemon under a policy from the store.
+
+One request a connection at a time: bytes that come before the answer is out are
+held, so that an answer can't reach another request.
+"""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import time
+from collections.abc import Callable
+
+import attrs
+
+from ferrydeck.mesh import messages as mesh_messages
+from ferrydeck.net import bodies, http, poller, sockets
+from ferrydeck.wire import messages
+
+HELD_AHEAD = 256 * 1024
+"""Bytes of further requests that are held while one is answered."""
+HELD_MOST = 96 * 1024 * 1024
+"""Bytes of request bodies that are held at once: a third of a small box's memory."""
+BACKLOG_LOW = 128 * 1024
+"""Unsent bytes below which more of a long answer is asked for."""
+LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+_numbers = itertools.count(1)
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Request:
+    """A whole request."""
+
+    conn: int
+    head: http.RequestHead
+    body: bytes
+    source: str
+    """IP number of the caller."""
+
+
+@attrs.define(kw_only=True)
+class Limits:
+    """What callers may send, and how long they may take or rest."""
+
+    head_bytes: int = http.MAX_HEAD
+    body_bytes: int = http.MAX_BODY
+    head_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class CallerConn(sockets.Conn):
+    """A caller's connection."""
+
+    source: str = ""
+    head: http.RequestHead | None = None
+    body: bytearray = attrs.Factory(bytearray)
+    reader: bodies.BodyReader | None = None
+    number: int = 0
+    """The request that is being answered; 0 for none."""
+    keep: bool = True
+    """Whether the connection may serve a further request."""
+    streaming: bool = False
+    chunked: bool = False
+    owed: int = 0
+    """Bytes of a long answer that were given and not told as taken."""
+    since: float = 0.0
+    """When what is being waited for began: a request, or the rest of one."""
+
+
+class Ingress(sockets.SocketComponent):
+    """Reads requests on one address, hands them on and writes their answers."""
+
+    def __init__(
+        self,
+        *,
+        poller: poller.Poller,
+        channel: str,
+        ip: str,
+        port: int,
+        limits: Limits,
+        on_request: Callable[[Request], None],
+        on_gone: Callable[[int], None],
+        on_took: Callable[[int, int], None],
+        on_fault: Callable[[http.Malformed], None],
+    ) -> None:
+        super().__init__(poller=poller, channel=channel)
+        self.limits = limits
+        self.on_request = on_request
+        self.on_gone = on_gone
+        self.on_took = on_took
+        self.on_fault = on_fault
+        self.by_number: dict[int, CallerConn] = {}
+        self.held = 0
+        self.closing = False
+        self.listening = sockets.listener(ip, port)
+        self.poller.serve(self.listening, self.on_read, self.on_write)
+
+    def other_readable(self, source: object) -> None:
+        """Take the connections that wait."""
+        while source is self.listening:
+            try:
+                sock, (ip, *_) = self.listening.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.adopt(CallerConn(sock=sock, source=ip, since=time.monotonic()))
+
+    def data_read(self, conn: CallerConn, data: bytes) -> None:
+        """Read a request, or hold it while another one is answered."""
+        conn.inbuf += data
+        if not conn.number:
+            self._next_request(conn)
+        elif len(conn.inbuf) > HELD_AHEAD:
+            self.pause_reading(conn)
+
+    def reply(
+        self,
+        number: int,
+        status: int,
+        fields: mesh_messages.Fields,
+        body: bytes,
+        *,
+        more: bool = False,
+        total: int = -1,
+    ) -> None:
+        """Write an answer, or the head and first part of a long one."""
+        conn = self.by_number.get(number)
+        if conn is None or conn.closed:
+            return
+        conn.keep = conn.keep and conn.head.keep_alive and not self.closing
+        conn.streaming = more
+        conn.chunked = more and total < 0
+        head = self._head(conn, status, fields, len(body) if not more else total)
+        conn.close_when_sent = not more and not conn.keep
+        if not more:
+            self._finish(conn)
+            self.send(conn, head + body)
+            self._after(conn)
+            return
+        conn.owed += len(body)
+        self.send(conn, head + self._framed(conn, body))
+        self._tell_taken(conn)
+
+    def reply_part(self, number: int, data: bytes, *, last: bool) -> None:
+        """Write a further part of a long answer."""
+        conn = self.by_number.get(number)
+        if conn is None or conn.closed:
+            return
+        conn.owed += len(data)
+        framed = self._framed(conn, data)
+        if last:
+            framed += LAST_CHUNK if conn.chunked else b""
+            conn.close_when_sent = not conn.keep
+            self._finish(conn)
+        self.send(conn, framed)
+        if last:
+            self._after(conn)
+        else:
+            self._tell_taken(conn)
+
+    def abort(self, number: int) -> None:
+        """Reset the connection of an answer that can't be completed."""
+        conn = self.by_number.get(number)
+        if conn is None:
+            return
+        self._finish(conn)
+        linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.shut(conn)
+
+    def stop_keeping(self) -> None:
+        """Keep no connection for further requests; close those that rest."""
+        self.closing = True
+        for conn in list(self.conns.values()):
+            if not conn.number and not conn.inbuf and conn.head is None:
+                self.shut(conn)
+
+    def drained(self, conn: CallerConn) -> None:
+        """Ask for more of a long answer once the last part is out."""
+        self._tell_taken(conn)
+
+    def ended(self, conn: CallerConn) -> None:
+        """Tell that a caller went away before its answer was out."""
+        self._release(conn)
+        number = conn.number
+        if number:
+            self._finish(conn)
+            self.on_gone(number)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that rest too long, refuse requests that stop midway."""
+        for conn in list(self.conns.values()):
+            if conn.number or conn.close_when_sent:
+                continue
+            begun = conn.inbuf or conn.head is not None
+            if begun and now - conn.since > self.limits.head_s:
+                self._reject(conn, http.Malformed(status=408, detail="too slow"))
+            elif not begun and now - conn.since > self.limits.idle_s:
+                self.shut(conn)
+
+    def _after(self, conn: CallerConn) -> None:
+        if not conn.closed and not conn.close_when_sent:
+            self._next_request(conn)
+
+    def _head(
+        self, conn: CallerConn, status: int, fields: mesh_messages.Fields, length: int
+    ) -> bytes:
+        headers = [messages.Header(name=name, value=value) for name, value in fields]
+        if conn.chunked:
+            headers.append(messages.Header(name="transfer-encoding", value="chunked"))
+        return http.response_head(
+            status, tuple(headers), -1 if conn.chunked else length, close=not conn.keep
+        )
+
+    def _framed(self, conn: CallerConn, data: bytes) -> bytes:
+        if not conn.chunked or not data:
+            return data
+        return b"%x\r\n%s\r\n" % (len(data), data)
+
+    def _tell_taken(self, conn: CallerConn) -> None:
+        if not conn.streaming or not conn.number or len(conn.outbuf) > BACKLOG_LOW:
+            return
+        owed, conn.owed = conn.owed, 0
+        if owed:
+            self.on_took(conn.number, owed)
+
+    def _finish(self, conn: CallerConn) -> None:
+        self.by_number.pop(conn.number, None)
+        self._release(conn)
+        conn.number = 0
+        conn.head = None
+        conn.reader = None
+        conn.streaming = False
+        conn.owed = 0
+        conn.since = time.monotonic()
+        self.resume_reading(conn)
+
+    def _release(self, conn: CallerConn) -> None:
+        self.held -= len(conn.body)
+        conn.body = bytearray()
+
+    def _next_request(self, conn: CallerConn) -> None:
+        """Hand on the request at the front of the buffer, once it is whole."""
+        if conn.close_when_sent or conn.closed:
+            return
+        if conn.head is None and not self._read_head(conn):
+            return
+        if not self._read_body(conn):
+            return
+        conn.number = next(_numbers)
+        self.by_number[conn.number] = conn
+        self.on_request(
+            Request(
+                conn=conn.number,
+                head=conn.head,
+                body=bytes(conn.body),
+                source=conn.source,
+            )
+        )
+
+    def _read_head(self, conn: CallerConn) -> bool:
+        """Read the next head; false where it is not whole or not usable."""
+        while conn.inbuf[:2] == b"\r\n":
+            del conn.inbuf[:2]
+        if not conn.inbuf:
+            return False
+        end = conn.inbuf.find(http.END_OF_HEAD)
+        most = self.limits.head_bytes
+        if end < 0 and b"\n\n" in conn.inbuf:
+            self._reject(conn, http.Malformed(status=400, detail="a bare line end"))
+            return False
+        if end > most or (end < 0 and len(conn.inbuf) > most):
+            self._reject(conn, http.Malformed(status=431, detail="head too long"))
+            return False
+        if end < 0:
+            return False
+        end += len(http.END_OF_HEAD)
+        head = http.read_request(
+            bytes(conn.inbuf[:end]), chunks=True, most=self.limits.body_bytes
+        )
+        del conn.inbuf[:end]
+        if isinstance(head, http.Malformed):
+            self._reject(conn, head)
+            return False
+        conn.head = head
+        conn.reader = bodies.BodyReader(length=head.length)
+        if head.expects_continue and not conn.inbuf and head.length:
+            self.send(conn, CONTINUE)
+        return not conn.closed
+
+    def _read_body(self, conn: CallerConn) -> bool:
+        """Read more of the body; tell whether it is whole."""
+        try:
+            data = conn.reader.take(conn.inbuf)
+        except bodies.BadBody as exc:
+            self._reject(conn, http.Malformed(status=400, detail=str(exc)))
+            return False
+        conn.body += data
+        self.held += len(data)
+        if data:
+            conn.since = time.monotonic()
+        if len(conn.body) > self.limits.body_bytes:
+            self._reject(conn, http.Malformed(status=413, detail="body too large"))
+            return False
+        if self.held > HELD_MOST and not conn.reader.done:
+            self._reject(conn, http.Malformed(status=503, detail="no memory left"))
+            return False
+        return conn.reader.done
+
+    def _reject(self, conn: CallerConn, fault: http.Malformed) -> None:
+        """Answer what is no request and close: what follows can't be told apart."""
+        self.on_fault(fault)
+        body = f"not-run: {fault.detail}\n".encode("latin-1", "replace")
+        conn.inbuf.clear()
+        conn.close_when_sent = True
+        fields = (messages.Header(name="content-type", value="text/plain"),)
+        head = http.response_head(fault.status, fields, len(body), close=True)
+        self.pause_reading(conn)
+        self.send(conn, head + body)
--- a/ferrydeck/net/links.py
+++ b/ferrydeck/net/links.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import collections
-import errno
 import socket
 import struct
 import time
@@ -159,13 +158,8 @@
             self.feed(events.PeerLost(address=link.address))
 
     def _dial(self, effect: effects.SendPeer) -> Link | None:
-        host, port = sockets.split_address(effect.address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if sock.connect_ex((host, port)) not in (0, errno.EINPROGRESS):
-            sock.close()
+        sock = sockets.dial(effect.address)
+        if sock is None:
             return None
         link = Link(sock=sock, address=effect.address, used=time.monotonic())
         self.out[effect.address] = link
--- a/ferrydeck/net/sockets.py
+++ b/ferrydeck/net/sockets.py
@@ -30,6 +30,8 @@
     reading: bool = False
     writing: bool = False
     closed: bool = False
+    read_error: bool = False
+    """Whether it was reset, not ended by the other side."""
     close_when_sent: bool = False
 
 
@@ -108,6 +110,7 @@
             sent = conn.sock.send(data)
         except OSError as exc:
             if exc.errno not in AGAIN:
+                conn.read_error = True
                 self.shut(conn)
                 return
             sent = 0
@@ -143,13 +146,17 @@
         try:
             return conn.sock.recv(CHUNK)
         except OSError as exc:
-            return None if exc.errno in AGAIN else b""
+            if exc.errno in AGAIN:
+                return None
+            conn.read_error = True
+            return b""
 
     def _push(self, conn: Any) -> None:
         try:
             sent = conn.sock.send(conn.outbuf) if conn.outbuf else 0
         except OSError as exc:
             if exc.errno not in AGAIN:
+                conn.read_error = True
                 self.shut(conn)
             return
         del conn.outbuf[:sent]
@@ -181,3 +188,16 @@
     """Return the host and the port of an address."""
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
+
+
+def dial(address: str) -> socket.socket | None:
+    """Return a socket that is connecting to an address, or `None`."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if sock.connect_ex((host, port)) not in (0, errno.EINPROGRESS):
+        sock.close()
+        return None
+    return sock
--- /dev/null
+++ b/ferrydeck/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls. Nothing here decides."""
--- /dev/null
+++ b/ferrydeck/platform/headers.py
@@ -0,0 +1,119 @@
+"""Header fields of the platform, read into and made from the project's types."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import effects, events, messages
+
+REQUEST_ID = "x-attempt-id"
+"""One for each client attempt: a client that tries again sends a new one."""
+DEADLINE = "x-deadline-ms"
+SEAL = "x-response-seal"
+EXPECT = "x-expect-instance"
+LOAD = "x-server-load"
+NOT_RUN = "x-not-executed"
+CALLER = "x-caller-service"
+INSTANCE = "x-instance-id"
+RETRY_AFTER = "retry-after"
+HOST = "host"
+MISDIRECTED = 421
+"""Another lifetime of the server answered, and did not run the request."""
+
+SET_BY_US = frozenset({REQUEST_ID, DEADLINE, EXPECT, CALLER})
+ONE_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+
+
+@attrs.define(kw_only=True, frozen=True)
+class RequestFacts:
+    """What a request's fields say, and the fields to pass on."""
+
+    request_id: str
+    """Empty where the caller gave none."""
+    host: str
+    deadline_s: float | None
+    """How long the caller waits, seconds; `None` where it did not say."""
+    deadline_fault: bool
+    fields: messages.Fields
+
+
+def read_request(fields: messages.Fields) -> RequestFacts:
+    """Return what the fields of a request say; names are in lower case."""
+    named = dict(fields)
+    stated = named.get(DEADLINE, "").strip()
+    usable = stated.isascii() and stated.isdigit() and len(stated) < 12
+    return RequestFacts(
+        request_id=named.get(REQUEST_ID, "").strip(),
+        host=named.get(HOST, ""),
+        deadline_s=int(stated) / 1000 if usable else None,
+        deadline_fault=bool(stated) and not usable,
+        fields=_passed_on(fields, named, SET_BY_US),
+    )
+
+
+def for_server(request: effects.Dispatch) -> messages.Fields:
+    """Return the fields with which a request is sent to a server."""
+    own = [
+        (REQUEST_ID, request.request_id),
+        (DEADLINE, str(max(1, int(request.left_s * 1000)))),
+        (EXPECT, request.instance),
+        (CALLER, request.caller),
+    ]
+    return [*request.fields, *own]
+
+
+def for_caller(fields: messages.Fields) -> messages.Fields:
+    """Return the fields of a server's answer that a caller gets."""
+    return _passed_on(fields, dict(fields), frozenset())
+
+
+def read_answer(status: int, fields: messages.Fields) -> events.AnswerFacts:
+    """Return what the fields of a server's answer say."""
+    named = dict(fields)
+    return events.AnswerFacts(
+        not_run=NOT_RUN in named or status == MISDIRECTED,
+        sealed=SEAL in named,
+        instance=named.get(INSTANCE, ""),
+        load=_load(named.get(LOAD, "")),
+    )
+
+
+def answers(request_id: str, fields: messages.Fields) -> bool:
+    """Tell whether an answer belongs to a request: servers echo its id."""
+    return dict(fields).get(REQUEST_ID, request_id) == request_id
+
+
+def for_refusal(request_id: str, retry_after_s: float | None) -> messages.Fields:
+    """Return the fields of an answer that ferrydeck gives itself."""
+    fields = [(REQUEST_ID, request_id)] if request_id else []
+    if retry_after_s is not None:
+        fields.append((RETRY_AFTER, f"{retry_after_s:.3f}"))
+    return fields
+
+
+def _passed_on(
+    fields: messages.Fields, named: dict[str, str], dropped: frozenset[str]
+) -> messages.Fields:
+    listed = {one.strip().lower() for one in named.get("connection", "").split(",")}
+    drop = ONE_HOP | dropped | listed
+    return [(name, value) for name, value in fields if name not in drop]
+
+
+def _load(text: str) -> events.ServerLoad | None:
+    parts = text.split(",")
+    if len(parts) != 3 or not all(one.strip().isdigit() for one in parts):
+        return None
+    running, waiting, slots = map(int, parts)
+    return events.ServerLoad(running=running, waiting=waiting, slots=slots)
--- /dev/null
+++ b/ferrydeck/platform/kv.py
@@ -0,0 +1,158 @@
+"""The calls of the platform's store, from and to the project's requests and results."""
+
+from __future__ import annotations
+
+import base64
+import urllib.parse
+from typing import Any
+
+import attrs
+import msgspec
+
+from ferrydeck.config import findings
+from ferrydeck.mesh import store
+from ferrydeck.platform import manifest, units
+
+POLICY_KEY = "op/config"
+BOXES = "ferrydeck/box/"
+PAGE_MORE = "more"
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Call:
+    """A call of the store as HTTP."""
+
+    method: str
+    path: str
+    body: bytes = b""
+
+
+def to_http(request: store.Request) -> Call:
+    """Return the HTTP form of a request."""
+    match request:
+        case store.ReadPolicy():
+            return Call(method="GET", path=f"/api/kv-key?tls_key={quote(POLICY_KEY)}")
+        case store.WatchPolicy(after=after, wait_s=wait_s):
+            return _watch(POLICY_KEY, after, wait_s)
+        case store.ReadBoxes():
+            return Call(method="GET", path=f"/api/kv-range?path_prefix={quote(BOXES)}")
+        case store.WatchBoxes(after=after, wait_s=wait_s):
+            return _watch(BOXES, after, wait_s)
+        case store.GrantLease(ttl_s=ttl_s):
+            body = msgspec.json.encode({"ttl_time": f"{int(ttl_s * 1000)}ms"})
+            return Call(method="POST", path="/api/kv-lease", body=body)
+        case store.KeepLease(lease=lease):
+            return Call(method="POST", path=f"/api/kv-keep/{lease}")
+        case store.EndLease(lease=lease):
+            return Call(method="DELETE", path=f"/api/kv-lease-end/{lease}")
+        case store.PutBox(record=record, lease=lease):
+            return _put(record, lease)
+
+
+def next_page(request: store.ReadBoxes, last_key: str) -> Call:
+    """Return the call for what comes after the last key of a page."""
+    first = to_http(request)
+    return Call(method="GET", path=f"{first.path}&after={quote(last_key)}")
+
+
+def last_key(body: bytes) -> str:
+    """Return the last key of a page that others follow, or an empty text."""
+    try:
+        page = msgspec.json.decode(body)
+        return page["items"][-1]["tls_key"] if page.get(PAGE_MORE) else ""
+    except (msgspec.DecodeError, LookupError, TypeError, AttributeError):
+        return ""
+
+
+def from_http(request: store.Request, status: int, bodies: list[bytes]) -> store.Result:
+    """Return what the answer to a request means; one body for each page."""
+    try:
+        return _read(request, status, bodies)
+    except (msgspec.DecodeError, LookupError, TypeError, ValueError) as exc:
+        return store.NoAnswer(detail=f"answer not understood: {exc!r}")
+
+
+def _read(request: store.Request, status: int, bodies: list[bytes]) -> store.Result:
+    body = bodies[-1]
+    match request, status:
+        case store.ReadPolicy(), 404:
+            at = msgspec.json.decode(body).get("at", 0) if body else 0
+            return store.PolicyFound(policy=None, at=at)
+        case ((store.WatchPolicy() | store.WatchBoxes()), 410):
+            return store.HistoryGone()
+        case ((store.KeepLease() | store.PutBox() | store.EndLease()), 404):
+            return store.LeaseOver()
+        case _, 200:
+            return _read_ok(request, bodies)
+        case _:
+            return store.NoAnswer(detail=f"status {status}")
+
+
+def _read_ok(request: store.Request, bodies: list[bytes]) -> store.Result:
+    if isinstance(request, store.EndLease | store.PutBox):
+        return store.Done()
+    pages = [msgspec.json.decode(body) for body in bodies]
+    answer = pages[0]
+    match request:
+        case store.ReadPolicy():
+            return _policy(answer, answer.get("at", answer["revision"]))
+        case store.WatchPolicy():
+            events = [one for one in answer["events"] if one["tls_key"] == POLICY_KEY]
+            kept = [one for one in events if not one.get("gone")]
+            if not kept:
+                return store.PolicyFound(policy=None, at=answer["at"])
+            return _policy(kept[-1], answer["at"])
+        case store.ReadBoxes():
+            items = [item for page in pages for item in page["items"]]
+            # The first page's revision: a watch from there misses no later change.
+            return store.BoxesFound(
+                records=tuple(_record(item) for item in items), at=answer["at"]
+            )
+        case store.WatchBoxes():
+            return _boxes_changed(answer)
+        case store.GrantLease():
+            return store.Leased(
+                lease=answer["lease"], ttl_s=units.seconds(answer["ttl_time"])
+            )
+        case store.KeepLease(lease=lease):
+            return store.Leased(lease=lease, ttl_s=units.seconds(answer["ttl_time"]))
+
+
+def _policy(item: dict[str, Any], at: int) -> store.PolicyFound:
+    made = manifest.read(base64.b64decode(item["value"]), POLICY_KEY)
+    if isinstance(made, findings.Rejected):
+        return store.PolicyFound(policy=None, at=at, fault=str(made))
+    return store.PolicyFound(policy=made, at=at)
+
+
+def _boxes_changed(answer: dict[str, Any]) -> store.BoxesChanged:
+    last = {one["tls_key"]: one for one in answer["events"]}
+    written = [one for one in last.values() if not one.get("gone")]
+    gone = [key for key, one in last.items() if one.get("gone")]
+    return store.BoxesChanged(
+        written=tuple(_record(item) for item in written),
+        gone=tuple(key.removeprefix(BOXES) for key in gone),
+        at=answer["at"],
+    )
+
+
+def _record(item: dict[str, Any]) -> store.BoxRecord:
+    return msgspec.json.decode(base64.b64decode(item["value"]), type=store.BoxRecord)
+
+
+def _watch(prefix: str, after: int, wait_s: float) -> Call:
+    wait_ms = int(wait_s * 1000)
+    query = f"path_prefix={quote(prefix)}&after={after}&wait_ms={wait_ms}"
+    return Call(method="GET", path=f"/api/kv-watch?{query}")
+
+
+def _put(record: store.BoxRecord, lease: int) -> Call:
+    value = base64.b64encode(msgspec.json.encode(record)).decode()
+    put = {"tls_key": BOXES + record.box, "value": value, "lease": lease}
+    body = msgspec.json.encode({"expected_rev": [], "put": [put], "remove": []})
+    return Call(method="POST", path="/api/kv-txn", body=body)
+
+
+def quote(text: str) -> str:
+    """Return a text as it stands in a query."""
+    return urllib.parse.quote(text, safe="/")
--- /dev/null
+++ b/ferrydeck/platform/manifest.py
@@ -0,0 +1,140 @@
+"""The policy as the platform's store holds it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from ferrydeck.config import findings
+from ferrydeck.mesh import policy
+from ferrydeck.platform import units
+
+KINDS = {
+    "safe": policy.Kind.SAFE,
+    "unsafe": policy.Kind.ONCE,
+    "download": policy.Kind.DOWNLOAD,
+}
+
+
+def read(raw: bytes, source: str) -> policy.Policy | findings.Rejected:
+    """Return the policy in `raw`, or all that is wrong with it."""
+    report = findings.Report(file=source)
+    try:
+        table = msgspec.json.decode(raw)
+    except msgspec.DecodeError as exc:
+        report.add("(file)", str(exc))
+        return findings.Rejected(findings=tuple(report.findings))
+    made = _policy(table, raw, report)
+    if made is None or not report.clean:
+        return findings.Rejected(findings=tuple(report.findings))
+    return made
+
+
+def _policy(table: Any, raw: bytes, report: findings.Report) -> policy.Policy | None:
+    if not isinstance(table, dict):
+        report.add("(file)", "expected an object")
+        return None
+    services = _each(table, "services", _service, report)
+    known = {one.name: one for one in services}
+    routes = _each(table, "routes", _route, report)
+    for route in routes:
+        for part in route.parts:
+            if part.service not in known:
+                report.add(f"routes.{route.name}", f"unknown service {part.service!r}")
+    try:
+        return policy.Policy(
+            version=units.version(table.get("version")),
+            routes=tuple(routes),
+            services=known,
+            limits=_limits(table.get("limits") or {}),
+            raw=raw,
+        )
+    except (ValueError, TypeError) as exc:
+        report.add("version or limits", str(exc))
+        return None
+
+
+def _each(table: dict, name: str, make: Any, report: findings.Report) -> list[Any]:
+    made = []
+    try:
+        rows = list(_rows(table[name]))
+    except (KeyError, TypeError, ValueError) as exc:
+        report.add(name, f"expected columns and rows: {exc!r}")
+        return made
+    for index, row in enumerate(rows):
+        try:
+            made.append(make(row))
+        except (KeyError, TypeError, ValueError) as exc:
+            report.add(f"{name}[{index}]", repr(exc))
+    return made
+
+
+def _rows(held: dict[str, Any]) -> Iterator[dict[str, Any]]:
+    """Yield the rows with the names of their columns; left-out values are not there."""
+    columns = held["columns"]
+    for row in held["rows"]:
+        named = zip(columns, row, strict=True)
+        yield {name: value for name, value in named if value is not None}
+
+
+def _route(row: dict[str, Any]) -> policy.Route:
+    host, prefix = row["host"], row["path_prefix"]
+    if not host or not prefix.startswith("/") or not prefix.endswith("/"):
+        raise ValueError("a route needs a host and a prefix between slashes")
+    timeout_s = units.seconds(row["timeout"])
+    target_s = units.seconds(row.get("target_latency", row["timeout"]))
+    attempts, priority = row.get("max_attempts", 1), row.get("priority", 0)
+    if timeout_s <= 0 or target_s < 0 or attempts < 1 or priority < 0:
+        raise ValueError("times and numbers of a route have to be above zero")
+    return policy.Route(
+        name=row["name"],
+        host=host,
+        prefix=prefix,
+        kind=KINDS[row["route_type"]],
+        timeout_s=timeout_s,
+        target_s=target_s,
+        priority=int(priority),
+        attempts=int(attempts),
+        parts=_parts(row),
+    )
+
+
+def _parts(row: dict[str, Any]) -> tuple[policy.Part, ...]:
+    """Return where a route's requests go: a split where there is one."""
+    split = row.get("traffic_split")
+    if not split:
+        return (policy.Part(service=row["service"], weight=1.0),)
+    parts = [
+        policy.Part(service=one["service"], weight=float(one["weight"]))
+        for one in split
+    ]
+    if any(part.weight < 0 for part in parts):
+        raise ValueError("a weight below zero")
+    kept = tuple(part for part in parts if part.weight > 0)
+    if not kept:
+        raise ValueError("a split without weight")
+    return kept
+
+
+def _service(row: dict[str, Any]) -> policy.Service:
+    return policy.Service(
+        name=row["name"],
+        health_path=row.get("health_path", "/"),
+        max_connections=int(row.get("max_connections", 0)),
+    )
+
+
+def _limits(table: dict[str, Any]) -> policy.Limits:
+    usual = policy.Limits()
+    return policy.Limits(
+        head_bytes=int(table.get("max_header_bytes", usual.head_bytes)),
+        body_bytes=int(table.get("max_body_bytes", usual.body_bytes)),
+        head_s=_time(table, "header_timeout", usual.head_s),
+        idle_s=_time(table, "idle_timeout", usual.idle_s),
+    )
+
+
+def _time(table: dict[str, Any], name: str, usual: float) -> float:
+    return units.seconds(table[name]) if name in table else usual
--- /dev/null
+++ b/ferrydeck/platform/terms.py
@@ -0,0 +1,51 @@
+"""The terms of a deployment as the platform's settings state them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import attrs
+
+from ferrydeck.config import findings
+from ferrydeck.mesh import runtime
+from ferrydeck.platform import units
+
+NUMBERS = {
+    "retry_budget_ratio": "retry_ratio",
+    "budget_slack": "retry_slack",
+}
+TIMES = {
+    "budget_window": "retry_window_s",
+    "drain": "drain_s",
+    "grace": "grace_s",
+}
+
+
+def read(
+    stated: Mapping[str, str], beat: str, report: findings.Report
+) -> runtime.Terms:
+    """Return the terms in entries such as `grace = "6s"`; others are passed over."""
+    found: dict[str, float] = {}
+    for name, field in NUMBERS.items():
+        if name in stated:
+            _add(found, field, float, stated[name], name, report)
+    for name, field in TIMES.items():
+        if name in stated:
+            _add(found, field, units.seconds, stated[name], name, report)
+    if beat:
+        _add(found, "beat_s", units.seconds, beat, "report_interval", report)
+    return attrs.evolve(runtime.Terms(), **found)
+
+
+def _add(
+    found: dict[str, float],
+    field: str,
+    read_value: object,
+    text: str,
+    name: str,
+    report: findings.Report,
+) -> None:
+    try:
+        found[field] = read_value(text)
+    except ValueError as exc:
+        report.add(f"terms.{name}", str(exc))
