--- a/ferrydeck/config/mesh_settings.py
+++ b/ferrydeck/config/mesh_settings.py
@@ -62,6 +62,11 @@
     report_interval: str = options.option(FREE_TEXT, default="")
     log: LogLimits = options.option(options.Section(cls=LogLimits), default=LogLimits())
 
+    @property
+    def seed_links(self) -> tuple[str, ...]:
+        """Where the daemons of the seeds take links: ports are alike on all boxes."""
+        return tuple(f"{one.rpartition(':')[0]}:{self.link_port}" for one in self.seeds)
+
 
 def load(path: str) -> Settings | findings.Rejected:
     """Read and check the settings file at `path`."""
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -117,13 +117,17 @@
     def start(self, now: float) -> list[effects.Effect]:
         """Return the effects that a start brings."""
         self._started = now
-        for seed in self.seeds:
-            self.peers.greet(now, seed)
+        self.seeds_changed(now, self.seeds)
         self.peers.start(now)
         self.origin.start(now)
         self.registry.start(now)
         return self._collect(now)
 
+    def seeds_changed(self, now: float, seeds: tuple[str, ...]) -> None:
+        """Know the daemons that the settings name."""
+        for seed in seeds:
+            self.peers.greet(now, seed)
+
     def handle(self, now: float, event: events.Event) -> list[effects.Effect]:
         """Return the effects that an event brings, and those of due timers."""
         self._on_event(now, event)
@@ -329,7 +333,7 @@
         old = self.rt.version
         self.rt.policy = new
         self.origin.splits.clear()
-        self.rt.note("policy-in-force", version=new.version, old=old, source=source, raw=new.raw.decode())
+        self.rt.note("policy-in-force", version=new.version, old=old, source=source)
         limits = new.limits
         self.rt.emit(
             effects.UseLimits(
--- a/ferrydeck/mesh/events.py
+++ b/ferrydeck/mesh/events.py
@@ -21,8 +21,6 @@
     fields: messages.Fields
     """Header fields to be passed on."""
     body: bytes
-    inner: bool
-    """Whether the server of this box sent it."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -64,13 +64,9 @@
     streaming: bool = False
 
     @property
-    def order(self) -> tuple[int, int, float]:
-        """Return its place among the requests that wait: the smallest goes first.
-
-        Calls of servers go before requests from outside, since the slots that
-        their callers hold elsewhere are lost if they fail.
-        """
-        return (0 if self.forward.inner else 1, self.forward.priority, self.arrived)
+    def order(self) -> tuple[int, float]:
+        """Return its place among the requests that wait: the smallest goes first."""
+        return (self.forward.priority, self.arrived)
 
 
 @attrs.define(kw_only=True)
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -134,8 +134,6 @@
     wait_s: float
     """How long it may wait for a slot, seconds."""
     priority: int
-    inner: bool
-    """Whether a server called, not a client from outside."""
     repeatable: bool
 
 
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -18,13 +18,11 @@
 )
 
 WAIT_SHARE = 0.25
-"""Part of its target that a request from outside waits for a slot at most: a
+"""Part of its target that a request of the lowest rank waits for a slot at most: a
 refusal within a quarter of the target still earns half when it comes back."""
-INNER_WAIT_SHARE = 0.6
-"""Part of its time that a call of a server waits for a slot at most: its caller
-fails without it, and all that was done for it is lost."""
-TOP_WAIT_SHARE = 0.5
-"""Part of its target that a request of the highest rank waits at most."""
+HIGHER_WAIT_SHARE = 0.5
+"""Part of its time that a request of a higher rank waits for a slot at most: it is
+to be shed later than those below it, and other work may hang on it."""
 HOPS = 4
 """Gates that one request is shown to at most, those that refuse it included."""
 PAUSE_S = 0.03
@@ -283,18 +281,15 @@
             request=request,
             started=now,
             deadline=now + held_s,
-            give_up_at=now + self._patience_s(request, route, held_s),
+            give_up_at=now + self._patience_s(route, held_s),
             policy_version=self.rt.version,
         )
 
-    def _patience_s(
-        self, request: events.RequestTaken, route: policy.Route, held_s: float
-    ) -> float:
+    def _patience_s(self, route: policy.Route, held_s: float) -> float:
         """Return how long a request may wait before a server has it, seconds."""
-        if request.inner:
-            return INNER_WAIT_SHARE * held_s
-        share = TOP_WAIT_SHARE if route.priority == 0 else WAIT_SHARE
-        return min(share * route.target_s, held_s / 2)
+        if route.priority < self.rt.policy.lowest_rank:
+            return HIGHER_WAIT_SHARE * held_s
+        return min(WAIT_SHARE * route.target_s, HIGHER_WAIT_SHARE * held_s)
 
     def _try(self, now: float, call: Call) -> None:
         """Send the request to a gate."""
@@ -334,7 +329,6 @@
             left_s=call.deadline - now,
             wait_s=max(0.0, call.give_up_at - now),
             priority=call.route.priority,
-            inner=request.inner,
             repeatable=call.route.repeatable,
         )
         if peer is None:
@@ -497,7 +491,6 @@
             reason=reason,
             route=call.route.name,
             service=call.service,
-            inner=call.request.inner,
             version=call.policy_version,
             peer=call.peer.box if call.peer is not None else "",
             offered=call.offered,
--- a/ferrydeck/mesh/policy.py
+++ b/ferrydeck/mesh/policy.py
@@ -79,14 +79,21 @@
     raw: bytes = b""
     """The policy as the store holds it, to be handed to other daemons."""
     _by_host: dict[str, list[Route]] = attrs.field(init=False)
+    _lowest_rank: int = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._lowest_rank = max((one.priority for one in self.routes), default=0)
         self._by_host = {}
         for route in self.routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
         for routes in self._by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
 
+    @property
+    def lowest_rank(self) -> int:
+        """The rank of the routes that are shed first."""
+        return self._lowest_rank
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of a path."""
         bare = path.partition("?")[0]
--- a/ferrydeck/meshd.py
+++ b/ferrydeck/meshd.py
@@ -4,6 +4,7 @@
 
 import argparse
 import random
+import signal
 import sys
 import time
 
@@ -42,18 +43,23 @@
         ),
         rng=random.Random(),
         terms=mesh_settings.terms_of(cfg),
-        seeds=tuple(f"{seed.rpartition(':')[0]}:{cfg.link_port}" for seed in cfg.seeds),
+        seeds=cfg.seed_links,
     )
 
 
-def run(cfg: mesh_settings.Settings, output: decisions.NonBlockingHandler) -> None:
+def run(
+    cfg: mesh_settings.Settings, path: str, output: decisions.NonBlockingHandler
+) -> None:
     """Run the daemon until it is stopped."""
     incarnation = time.time_ns() // 1000
     app = circuits.Component(channel="app")
     poller = pollers.Poller().register(app)
     node = make_core(cfg, incarnation)
-    drv = mesh_driver.MeshDriver(cfg=cfg, node=node, poller=poller, output=output)
+    drv = mesh_driver.MeshDriver(
+        cfg=cfg, node=node, poller=poller, output=output, path=path
+    )
     drv.register(app)
+    signal.signal(signal.SIGHUP, drv.reload_asked)
     drv.note("start", service=cfg.service, zone=cfg.data_centre)
     drv.start_core()
     app.run()
@@ -72,7 +78,7 @@
         return 0
     output = decisions.standard_output()
     with output.applicationbound():
-        run(cfg, output)
+        run(cfg, args.settings, output)
     return 0
 
 
--- a/ferrydeck/net/mesh_driver.py
+++ b/ferrydeck/net/mesh_driver.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+import attrs
 import circuits
 import logbook
 
@@ -32,7 +33,6 @@
 """Time for the last bytes to leave before the process ends, seconds."""
 SETTLE_GC_S = 2.0
 """When the garbage collector is settled after the start, seconds."""
-SIGHUP = 1
 METRICS_PATH = "/metrics"
 PROBE = -1
 """The ticket of a health check; those of requests are above zero."""
@@ -50,9 +50,12 @@
         node: core.Core,
         poller: poller.Poller,
         output: decisions.NonBlockingHandler,
+        path: str,
     ) -> None:
         super().__init__()
         self.cfg = cfg
+        self.path = path
+        self._reload_due = False
         self.node = node
         self.poller = poller
         self.output = output
@@ -96,6 +99,8 @@
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
         now = time.monotonic()
+        if self._reload_due:
+            self._reload()
         wake = self.node.next_wake()
         if wake is not None and wake <= now:
             self.feed(events.Wake())
@@ -107,11 +112,12 @@
 
     @circuits.handler("signal", channel="*")
     def _on_signal(self, signo: int, stack: object) -> None:
-        if int(signo) == SIGHUP:
-            self._reload()
-            return
         self.feed(events.StopAsked())
 
+    def reload_asked(self, signo: int, stack: object) -> None:
+        """Note a signal that the settings have changed; it ends no process."""
+        self._reload_due = True
+
     @circuits.handler("exception", channel="*", priority=1)
     def _on_exception(
         self, kind: type, value: object, trace: object, **_: object
@@ -163,7 +169,17 @@
 
     def _reload(self) -> None:
         """Read the settings again; what can change while the process runs is taken."""
-        self.note("reload", "unchanged")
+        self._reload_due = False
+        cfg = mesh_settings.load(self.path)
+        if isinstance(cfg, findings.Rejected):
+            self.note("reload", "rejected", reason=str(cfg))
+            return
+        self.decisions.failed_per_s = cfg.log.failed_per_s
+        self.decisions.served_per_s = cfg.log.served_per_s
+        self.node.seeds_changed(time.monotonic(), cfg.seed_links)
+        kept = attrs.evolve(cfg, log=self.cfg.log, seeds=self.cfg.seeds)
+        outcome = "taken" if kept == self.cfg else "needs-restart"
+        self.note("reload", outcome)
 
     def _call_taken(self, request: ingress.Request) -> None:
         fields = [(one.name, one.value) for one in request.head.headers]
@@ -185,7 +201,6 @@
                 deadline_s=facts.deadline_s,
                 fields=facts.fields,
                 body=request.body,
-                inner=request.source == self.cfg.ip,
             )
         )
 
--- /dev/null
+++ b/ferrydeck/standins/app_server.py
@@ -0,0 +1,194 @@
+"""A stand-in for a server of the platform: it reports, works, sheds and leaves."""
+
+from __future__ import annotations
+
+import enum
+import http.client
+import time
+
+import attrs
+import msgspec
+
+from ferrydeck.standins import loop
+from ferrydeck.wire import messages
+
+REPORT_TIMEOUT_S = 1.0
+
+
+class Mood(enum.StrEnum):
+    """How the server behaves."""
+
+    WELL = "well"
+    SHED = "shed"
+    """Refuses all requests, and says that it did not run them."""
+    FAIL = "fail"
+    """Runs requests and answers 500."""
+    CUT = "cut"
+    """Runs requests and ends the connection without an answer."""
+    UNSEALED = "unsealed"
+    """Answers without its mark of a whole answer."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class Ran:
+    """A request that the server ran."""
+
+    request_id: str
+    caller: str
+    deadline_ms: int
+    method: str
+    path: str
+    body: bytes
+
+
+class AppServer(loop.Loop):
+    """Serves requests on one port and reports to the daemon beside it."""
+
+    def __init__(
+        self,
+        *,
+        ip: str,
+        port: int,
+        instance: str,
+        service: str,
+        zone: str,
+        reports: str,
+        slots: int = 8,
+        work_s: float = 0.002,
+        report_every_s: float = 0.3,
+    ) -> None:
+        super().__init__(ip=ip, ports=[port])
+        self.address = f"{ip}:{port}"
+        self.instance = instance
+        self.service = service
+        self.zone = zone
+        self.reports = reports
+        self.slots = slots
+        self.work_s = work_s
+        self.report_every_s = report_every_s
+        self.mood = Mood.WELL
+        self.leaving = False
+        self.sequence = 0
+        self.at_work = 0
+        self.ran: list[Ran] = []
+        self.after(0.0, self._report)
+
+    def asked(self, req: loop.Asked) -> None:
+        """Serve a request, a health check, or whoever controls the stand-in."""
+        fields = {one.name: one.value for one in req.headers}
+        if req.path.startswith("/standin/"):
+            self._controlled(req)
+        elif req.path == "/healthz":
+            self._answer(req, 503 if self.leaving else 200, fields, b"")
+        else:
+            self._request(req, fields)
+
+    def _controlled(self, req: loop.Asked) -> None:
+        match req.path:
+            case "/standin/mood":
+                self.mood = Mood(req.body.decode())
+            case "/standin/drain":
+                self.leaving = True
+                acked = self._call("PUT", self._body("draining"))
+                self.answer(req.call, 200, {"acked": acked})
+                return
+            case "/standin/work":
+                self.work_s = float(req.body)
+        ran = [one.request_id for one in self.ran]
+        self.answer(req.call, 200, {"ran": ran, "running": self.at_work})
+
+    def _request(self, req: loop.Asked, fields: dict[str, str]) -> None:
+        expected = fields.get("x-expect-instance", self.instance)
+        if expected != self.instance:
+            self._answer(req, 421, fields, b"", not_run=True)
+            return
+        if self.at_work >= self.slots or self.mood is Mood.SHED:
+            self._answer(req, 503, fields, b"", not_run=True)
+            return
+        self.at_work += 1
+        self.ran.append(
+            Ran(
+                request_id=fields.get("x-attempt-id", ""),
+                caller=fields.get("x-caller-service", ""),
+                deadline_ms=int(fields.get("x-deadline-ms", "0")),
+                method=req.method,
+                path=req.path,
+                body=req.body,
+            )
+        )
+        self.after(self.work_s, lambda: self._finish(req, fields))
+
+    def _finish(self, req: loop.Asked, fields: dict[str, str]) -> None:
+        self.at_work -= 1
+        body = f"{self.service} {req.method} {req.path} ".encode() + req.body
+        match self.mood:
+            case Mood.CUT:
+                self.abort(req.call)
+            case Mood.FAIL:
+                self._answer(req, 500, fields, b"failed", sealed=True)
+            case Mood.UNSEALED:
+                self._answer(req, 200, fields, body)
+            case _:
+                self._answer(req, 200, fields, body, sealed=True)
+
+    def _answer(
+        self,
+        req: loop.Asked,
+        status: int,
+        fields: dict[str, str],
+        body: bytes,
+        *,
+        not_run: bool = False,
+        sealed: bool = False,
+    ) -> None:
+        told = {
+            "x-attempt-id": fields.get("x-attempt-id", ""),
+            "x-instance-id": self.instance,
+            "x-server-load": f"{self.at_work},0,{self.slots}",
+        }
+        if not_run:
+            told["x-not-executed"] = "1"
+        if sealed:
+            told["x-response-seal"] = f"{self.instance}.{len(body)}"
+        headers = tuple(
+            messages.Header(name=name, value=value)
+            for name, value in told.items()
+            if value
+        )
+        self.answer(req.call, status, body, headers=headers)
+
+    def _report(self) -> None:
+        self.after(self.report_every_s, self._report)
+        if not self.leaving:
+            self._call("PUT", self._body("ready"))
+
+    def _body(self, state: str) -> bytes:
+        self.sequence += 1
+        return msgspec.json.encode(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.zone,
+                "version": "v1",
+                "slots": self.slots,
+                "state": state,
+                "cold_remaining": "0ms",
+                "sequence": self.sequence,
+            }
+        )
+
+    def _call(self, method: str, body: bytes) -> bool:
+        """Report; tell whether it was acknowledged."""
+        conn = http.client.HTTPConnection(self.reports, timeout=REPORT_TIMEOUT_S)
+        try:
+            conn.request(method, f"/api/instances/{self.instance}", body)
+            return conn.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            conn.close()
+
+
+def new_instance() -> str:
+    """Return an id that no other lifetime has."""
+    return f"i-{time.time_ns():x}"
