--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -6,7 +6,7 @@
 
 from ferrydeck.mesh import gate, messages, peers, runtime
 
-FAR_PENALTY = 0.35
+FAR_PENALTY = 0.6
 """What another zone adds to a gate's load over its slots: bytes between zones are
 priced, and a near gate at two thirds of its slots answers as fast as a free one."""
 SUSPECT_PENALTY = 3.0
--- /dev/null
+++ b/ferrydeck/replay/mesh_world.py
@@ -0,0 +1,620 @@
+"""Several cores of daemons under virtual time, with links, servers and a store.
+
+Everything that a core asks for is carried out here by simple fakes: links with a
+delay and cuts, servers with slots and lifetimes, a store with its faults. What
+callers were told and what servers ran is recorded for the checkers.
+"""
+
+from __future__ import annotations
+
+import collections
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import simpy
+
+from ferrydeck.mesh import core, effects, events, messages, policy, runtime, store
+
+NEAR_S = 0.0002
+FAR_S = 0.001
+STORE_S = 0.004
+REFUSAL_STATUSES = frozenset({429, 503, 408, 421})
+
+
+@attrs.define(kw_only=True)
+class Told:
+    """The final answer to a request."""
+
+    status: int
+    at: float
+    reason: str = ""
+    retry_after_s: float | None = None
+    body: bytes = b""
+
+
+@attrs.define(kw_only=True)
+class Asked:
+    """A request of a caller."""
+
+    request_id: str
+    box: str
+    at: float
+    once: bool
+    told: Told | None = None
+    gone_at: float | None = None
+
+
+@attrs.define(kw_only=True)
+class Run:
+    """A request that reached a server."""
+
+    request_id: str
+    box: str
+    instance: str
+    at: float
+    ran: bool
+    left_s: float
+
+
+@attrs.define(kw_only=True)
+class Server:
+    """The server beside a daemon."""
+
+    instance: str
+    service: str
+    slots: int = 8
+    work_s: float = 0.05
+    up: bool = True
+    leaving: bool = False
+    loses_answers: bool = False
+    sheds: bool = False
+    fails: bool = False
+    at_work: dict[int, simpy.Event] = attrs.Factory(dict)
+
+
+@attrs.define(kw_only=True)
+class Box:
+    """A daemon with the server beside it."""
+
+    name: str
+    zone: str
+    address: str
+    core: core.Core
+    server: Server
+    up: bool = True
+    frozen_until: float = 0.0
+    links: dict[str, int] = attrs.Factory(dict)
+    """Numbers at the other side of the links that were dialled, by address."""
+    back: dict[int, str] = attrs.Factory(dict)
+    """Addresses of those that dialled, by link number."""
+    wake_at: float | None = None
+    sequence: int = 0
+    life: int = 0
+
+
+@attrs.define(kw_only=True)
+class World:
+    """Boxes, links, servers and a store on one virtual clock."""
+
+    seed: int = 1
+    env: simpy.Environment = attrs.Factory(simpy.Environment)
+    rng: random.Random = attrs.field(init=False)
+    boxes: dict[str, Box] = attrs.Factory(dict)
+    by_address: dict[str, Box] = attrs.Factory(dict)
+    policy: policy.Policy | None = None
+    policy_revision: int = 0
+    revision: int = 1
+    records: dict[str, store.BoxRecord] = attrs.Factory(dict)
+    record_lease: dict[str, int] = attrs.Factory(dict)
+    changes: list[tuple[int, str, store.BoxRecord | None]] = attrs.Factory(list)
+    watches: list[tuple[Box, int, Any]] = attrs.Factory(list)
+    store_up: bool = True
+    cut: Callable[[Box, Box], bool] = lambda one, other: False
+    store_cut: Callable[[Box], bool] = lambda box: False
+    asked: dict[str, Asked] = attrs.Factory(dict)
+    runs: list[Run] = attrs.Factory(list)
+    notes: list[tuple[float, str, effects.Note]] = attrs.Factory(list)
+    beats: dict[int, Callable[[bool], None]] = attrs.Factory(dict)
+    _conns: dict[tuple[str, int], Asked] = attrs.Factory(dict)
+    _numbers: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+
+    @property
+    def now(self) -> float:
+        """The time, seconds."""
+        return self.env.now
+
+    def number(self) -> int:
+        """Return a number that was not used before."""
+        self._numbers += 1
+        return self._numbers
+
+    def add_box(self, name: str, zone: str, service: str, **server: Any) -> Box:
+        """Add a daemon with a server, and start both."""
+        address = f"10.0.0.{len(self.boxes) + 1}:7000"
+        box = Box(
+            name=name,
+            zone=zone,
+            address=address,
+            core=self._core(name, zone, address, service),
+            server=Server(instance=f"i-{name}-0", service=service, **server),
+        )
+        self.boxes[name] = box
+        self.by_address[address] = box
+        self._carry_out(box, box.core.start(self.now))
+        self.report_forever(box)
+        return box
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.env.run(until=self.env.now + seconds)
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run an action after some time."""
+        timeout = self.env.timeout(max(0.0, delay_s))
+        timeout.callbacks.append(lambda _: action())
+
+    def use(self, new: policy.Policy) -> None:
+        """Put a policy into the store."""
+        self.policy = new
+        self.revision += 1
+        self.policy_revision = self.revision
+        self._tell_watches()
+
+    def request(
+        self,
+        box: Box,
+        *,
+        host: str,
+        path: str,
+        deadline_s: float = 2.0,
+        once: bool = False,
+        body: bytes = b"",
+    ) -> Asked:
+        """Have a caller on a box send a request."""
+        number = self.number()
+        request_id = f"r{number}"
+        asked = Asked(request_id=request_id, box=box.name, at=self.now, once=once)
+        self.asked[request_id] = asked
+        event = events.RequestTaken(
+            conn=number,
+            method="POST" if once else "GET",
+            target=path,
+            host=host,
+            request_id=request_id,
+            deadline_s=deadline_s,
+            fields=[],
+            body=body,
+        )
+        self._conns[box.name, number] = asked
+        self.feed(box, event)
+        return asked
+
+    def leave_caller(self, asked: Asked) -> None:
+        """Have a caller close its connection."""
+        for (name, number), one in list(self._conns.items()):
+            if one is asked:
+                asked.gone_at = self.now
+                del self._conns[name, number]
+                self.feed(self.boxes[name], events.CallerGone(conn=number))
+
+    def kill(self, box: Box, down_s: float = 0.5) -> None:
+        """Kill a daemon and start it again after some time."""
+        box.up = False
+        box.life += 1
+        for asked in [a for (n, _), a in self._conns.items() if n == box.name]:
+            asked.gone_at = self.now
+        self._conns = {k: a for k, a in self._conns.items() if k[0] != box.name}
+        for dispatch in list(box.server.at_work):
+            del box.server.at_work[dispatch]
+        for other in self.boxes.values():
+            self._drop_links(box, other)
+        self.after(down_s, lambda: self._restart(box))
+
+    def stop(self, box: Box) -> None:
+        """Ask a daemon to end as planned."""
+        self.feed(box, events.StopAsked())
+
+    def drain(self, box: Box, *, by_leave: bool = False) -> list[bool]:
+        """Have a server say that it leaves; the list gets the acknowledgement."""
+        box.server.leaving = True
+        acks: list[bool] = []
+        self._beat(box, ready=False, gone=by_leave, answered=acks.append)
+        return acks
+
+    def replace_server(self, box: Box) -> None:
+        """Have a new lifetime of the server answer."""
+        box.server.at_work.clear()
+        old = box.server
+        box.server = attrs.evolve(
+            old,
+            instance=f"{old.instance}x",
+            up=True,
+            leaving=False,
+            at_work={},
+        )
+
+    def report_forever(self, box: Box) -> None:
+        """Have the server of a box report as long as it is up."""
+        if box.server.up and not box.server.leaving:
+            self._beat(box, ready=True, gone=False, answered=lambda taken: None)
+        self.after(1.5, lambda: self.report_forever(box))
+
+    def feed(self, box: Box, event: events.Event) -> None:
+        """Give a core an event, once it is awake."""
+        if not box.up:
+            return
+        if self.now < box.frozen_until:
+            life = box.life
+            self.after(
+                box.frozen_until - self.now + 1e-6,
+                lambda: self.feed(box, event) if box.life == life else None,
+            )
+            return
+        self._carry_out(box, box.core.handle(self.now, event))
+
+    def _core(self, name: str, zone: str, address: str, service: str) -> core.Core:
+        return core.Core(
+            identity=runtime.Identity(
+                box=name,
+                incarnation=self.number(),
+                address=address,
+                zone=zone,
+                service=service,
+                server_address=f"{address.rpartition(':')[0]}:80",
+            ),
+            rng=random.Random(self.rng.random()),
+        )
+
+    def _restart(self, box: Box) -> None:
+        box.core = self._core(
+            box.name, box.zone, box.address, box.core.identity.service
+        )
+        box.up = True
+        box.links.clear()
+        box.back.clear()
+        box.wake_at = None
+        self._carry_out(box, box.core.start(self.now))
+
+    def _carry_out(self, box: Box, asked: list[effects.Effect]) -> None:
+        for effect in asked:
+            self._do(box, effect)
+        wake = box.core.next_wake()
+        if wake is not None and (box.wake_at is None or wake < box.wake_at):
+            box.wake_at = wake
+            life = box.life
+            self.after(wake - self.now, lambda: self._wake(box, life))
+
+    def _wake(self, box: Box, life: int) -> None:
+        if box.life == life:
+            box.wake_at = None
+            self.feed(box, events.Wake())
+
+    def _do(self, box: Box, effect: effects.Effect) -> None:
+        match effect:
+            case effects.Dial(address=address):
+                self._dial(box, address)
+            case effects.Hang(address=address):
+                self._hang(box, address)
+            case effects.Send(address=address, message=message):
+                self._send(box, address, message)
+            case effects.SendBack(link=link, message=message):
+                self._send_back(box, link, message)
+            case effects.Dispatch():
+                self._dispatch(box, effect)
+            case effects.CancelDispatch(dispatch=dispatch):
+                box.server.at_work.pop(dispatch, None)
+            case effects.Probe():
+                self._probe(box)
+            case effects.Reply():
+                self._told(box, effect.conn, effect.status, body=effect.body)
+            case effects.Decline():
+                self._told(
+                    box,
+                    effect.conn,
+                    effect.status,
+                    reason=effect.reason,
+                    retry_after_s=effect.retry_after_s,
+                )
+            case effects.AnswerBeat(conn=conn, taken=taken):
+                answered = self.beats.pop(conn, None)
+                if answered is not None:
+                    answered(taken)
+            case effects.AskStore(request=request):
+                self._ask_store(box, request)
+            case effects.ReadPolicy(source=source):
+                held = self.policy
+                if held is not None:
+                    self.feed_later(box, events.PolicyRead(policy=held, source=source))
+            case effects.Note():
+                self.notes.append((self.now, box.name, effect))
+            case effects.End():
+                box.up = False
+                for other in self.boxes.values():
+                    self._drop_links(box, other)
+
+    def feed_later(self, box: Box, event: events.Event, delay_s: float = 0.0) -> None:
+        """Give a core an event after some time, unless it has restarted."""
+        life = box.life
+        self.after(delay_s, lambda: self.feed(box, event) if box.life == life else None)
+
+    def _told(
+        self,
+        box: Box,
+        conn: int,
+        status: int,
+        *,
+        reason: str = "",
+        retry_after_s: float | None = None,
+        body: bytes = b"",
+    ) -> None:
+        asked = self._conns.pop((box.name, conn), None)
+        if asked is None:
+            return
+        asked.told = Told(
+            status=status,
+            at=self.now,
+            reason=reason,
+            retry_after_s=retry_after_s,
+            body=body,
+        )
+
+    def _delay(self, one: Box, other: Box) -> float:
+        return NEAR_S if one.zone == other.zone else FAR_S
+
+    def _dial(self, box: Box, address: str) -> None:
+        other = self.by_address.get(address)
+        if other is None or not other.up:
+            self.feed_later(
+                box, events.LinkDown(address=address, made=False), delay_s=FAR_S
+            )
+            return
+        if self.cut(box, other):
+            return
+        number = self.number()
+        box.links[address] = number
+        other.back[number] = box.address
+        self.feed_later(
+            box, events.LinkUp(address=address), delay_s=2 * self._delay(box, other)
+        )
+
+    def _hang(self, box: Box, address: str) -> None:
+        number = box.links.pop(address, None)
+        other = self.by_address.get(address)
+        if number is None or other is None:
+            return
+        if not self.cut(box, other):
+            self.after(self._delay(box, other), lambda: self._peer_gone(other, number))
+
+    def _peer_gone(self, box: Box, number: int) -> None:
+        if box.back.pop(number, None) is not None:
+            self.feed(box, events.PeerLinkDown(link=number))
+
+    def _drop_links(self, box: Box, other: Box) -> None:
+        """End the links between two boxes, one of which has gone."""
+        number = other.links.pop(box.address, None)
+        if number is not None:
+            self.feed_later(
+                other, events.LinkDown(address=box.address, made=True), delay_s=FAR_S
+            )
+        number = box.links.pop(other.address, None)
+        if number is not None:
+            self.after(FAR_S, lambda: self._peer_gone(other, number))
+
+    def _send(self, box: Box, address: str, message: messages.Any) -> None:
+        number = box.links.get(address)
+        other = self.by_address.get(address)
+        if number is None or other is None or self.cut(box, other):
+            return
+        copy = messages.decode(messages.encode(message))
+        self.after(
+            self._delay(box, other),
+            lambda: self._arrived(other, number, copy),
+        )
+
+    def _arrived(self, box: Box, number: int, message: messages.Any) -> None:
+        if number in box.back:
+            self.feed(box, events.PeerMessage(link=number, message=message))
+
+    def _send_back(self, box: Box, number: int, message: messages.Any) -> None:
+        address = box.back.get(number)
+        other = self.by_address.get(address or "")
+        if other is None or self.cut(box, other):
+            return
+        copy = messages.decode(messages.encode(message))
+
+        def arrive() -> None:
+            if other.links.get(box.address) == number:
+                self.feed(other, events.LinkMessage(address=box.address, message=copy))
+
+        self.after(self._delay(box, other), arrive)
+
+    def _dispatch(self, box: Box, effect: effects.Dispatch) -> None:
+        server = box.server
+        runs = (
+            server.up
+            and effect.instance == server.instance
+            and len(server.at_work) < server.slots
+            and not server.sheds
+        )
+        self.runs.append(
+            Run(
+                request_id=effect.request_id,
+                box=box.name,
+                instance=server.instance,
+                at=self.now,
+                ran=runs,
+                left_s=effect.left_s,
+            )
+        )
+        if not server.up:
+            failed = events.ServerFailed(
+                dispatch=effect.dispatch, sent=False, refused=True, detail="refused"
+            )
+            self.feed_later(box, failed, 0.0001)
+            return
+        if not runs:
+            facts = events.AnswerFacts(not_run=True, instance=server.instance)
+            self._answer(box, effect.dispatch, 503, facts)
+            return
+        server.at_work[effect.dispatch] = self.env.event()
+        work_s = server.work_s * (0.5 + self.rng.random())
+        life = box.life
+        self.after(work_s, lambda: self._worked(box, server, effect.dispatch, life))
+
+    def _worked(self, box: Box, server: Server, dispatch: int, life: int) -> None:
+        if server.at_work.pop(dispatch, None) is None or box.life != life:
+            return
+        if server.loses_answers:
+            failed = events.ServerFailed(
+                dispatch=dispatch, sent=True, refused=False, detail="lost"
+            )
+            self.feed(box, failed)
+            return
+        facts = events.AnswerFacts(sealed=True, instance=server.instance)
+        self._answer(box, dispatch, 500 if server.fails else 200, facts)
+
+    def _answer(
+        self, box: Box, dispatch: int, status: int, facts: events.AnswerFacts
+    ) -> None:
+        answered = events.ServerAnswered(
+            dispatch=dispatch,
+            status=status,
+            fields=[],
+            body=b"whole",
+            more=False,
+            total=5,
+            facts=facts,
+        )
+        self.feed_later(box, answered, 0.0001)
+
+    def _probe(self, box: Box) -> None:
+        server = box.server
+        probed = events.ProbeAnswered(
+            well=server.up and not server.leaving,
+            instance=server.instance if server.up else "",
+            slots=server.slots,
+        )
+        self.feed_later(box, probed, 0.001)
+
+    def _beat(
+        self,
+        box: Box,
+        *,
+        ready: bool,
+        gone: bool,
+        answered: Callable[[bool], None],
+    ) -> None:
+        box.sequence += 1
+        number = self.number()
+        self.beats[number] = answered
+        beat = events.Beat(
+            conn=number,
+            instance=box.server.instance,
+            service=box.server.service,
+            address=f"{box.address.rpartition(':')[0]}:80",
+            slots=box.server.slots,
+            sequence=box.sequence,
+            ready=ready,
+            gone=gone,
+            cold_s=0.0,
+        )
+        self.feed(box, beat)
+
+    def _ask_store(self, box: Box, request: store.Request) -> None:
+        life = box.life
+
+        def serve() -> None:
+            if box.life == life:
+                self._serve_store(box, request, life)
+
+        if not self.store_up or self.store_cut(box):
+            result = store.NoAnswer(detail="down")
+            answered = events.StoreAnswered(request=request, result=result)
+            self.feed_later(box, answered, 1.0)
+            return
+        self.after(STORE_S, serve)
+
+    def _serve_store(self, box: Box, request: store.Request, life: int) -> None:
+        match request:
+            case store.ReadPolicy():
+                result = store.PolicyFound(policy=self.policy, at=self.revision)
+            case store.ReadBoxes():
+                result = store.BoxesFound(
+                    records=tuple(self.records.values()), at=self.revision
+                )
+            case store.GrantLease(ttl_s=ttl_s):
+                result = store.Leased(lease=self.number(), ttl_s=ttl_s)
+            case store.KeepLease(lease=lease):
+                result = store.Leased(lease=lease, ttl_s=30.0)
+            case store.PutBox(record=record):
+                self.records[record.box] = record
+                self._changed(record.box, record)
+                result = store.Done()
+            case store.EndLease():
+                if self.records.pop(box.name, None) is not None:
+                    self._changed(box.name, None)
+                result = store.Done()
+            case _:
+                self.watches.append((box, life, request))
+                self.after(request.wait_s, self._tell_watches)
+                self._tell_watches()
+                return
+        self.feed(box, events.StoreAnswered(request=request, result=result))
+
+    def _changed(self, name: str, record: store.BoxRecord | None) -> None:
+        self.revision += 1
+        self.changes.append((self.revision, name, record))
+        self._tell_watches()
+
+    def _tell_watches(self) -> None:
+        waiting, self.watches = self.watches, []
+        for box, life, request in waiting:
+            if box.life != life:
+                continue
+            if not self.store_up or self.store_cut(box):
+                result = store.NoAnswer(detail="down")
+            else:
+                result = self._watched(request)
+            if result is None:
+                self.watches.append((box, life, request))
+                continue
+            answered = events.StoreAnswered(request=request, result=result)
+            self.feed_later(box, answered, STORE_S)
+
+    def _watched(self, request: Any) -> store.Result | None:
+        if isinstance(request, store.WatchPolicy):
+            if self.policy_revision > request.after:
+                return store.PolicyFound(policy=self.policy, at=self.revision)
+            return None
+        changed = [one for one in self.changes if one[0] > request.after]
+        if not changed:
+            return None
+        last = {name: record for _, name, record in changed}
+        return store.BoxesChanged(
+            written=tuple(one for one in last.values() if one is not None),
+            gone=tuple(name for name, one in last.items() if one is None),
+            at=self.revision,
+        )
+
+
+def faults(world: World) -> list[str]:
+    """Return what callers and servers saw that must not be."""
+    found = []
+    ran = collections.Counter(one.request_id for one in world.runs if one.ran)
+    for asked in world.asked.values():
+        if asked.once and ran[asked.request_id] > 1:
+            found.append(f"TWICE {asked.request_id}")
+        told = asked.told
+        if told is None:
+            continue
+        refused = told.status in REFUSAL_STATUSES
+        if refused and asked.once and ran[asked.request_id]:
+            found.append(f"REFUSED {asked.request_id}: {told.reason}")
+        if told.status == 200 and not ran[asked.request_id]:
+            found.append(f"MIXED {asked.request_id}")
+    return found
--- /dev/null
+++ b/tests/mesh/samples.py
@@ -0,0 +1,59 @@
+"""Policies and worlds for the tests of daemons under a policy from the store."""
+
+from __future__ import annotations
+
+from ferrydeck.mesh import policy
+from ferrydeck.replay import mesh_world
+
+HOST = "calls.example"
+
+
+def route(name: str = "look", **changes: object) -> policy.Route:
+    values = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": policy.Kind.SAFE,
+        "timeout_s": 2.0,
+        "target_s": 1.0,
+        "priority": 2,
+        "attempts": 2,
+        "parts": (policy.Part(service="desk", weight=1.0),),
+    }
+    return policy.Route(**(values | changes))
+
+
+def pay(**changes: object) -> policy.Route:
+    return route("pay", kind=policy.Kind.ONCE, priority=0, **changes)
+
+
+def policy_of(*routes: policy.Route, version: int = 4) -> policy.Policy:
+    names = {part.service for one in routes for part in one.parts} | {"desk"}
+    services = {
+        name: policy.Service(name=name, health_path="/healthz", max_connections=100)
+        for name in names
+    }
+    return policy.Policy(
+        version=version, routes=routes, services=services, raw=b"given"
+    )
+
+
+def world_of(
+    boxes: int = 3, *, seed: int = 1, zones: int = 1, **server: object
+) -> mesh_world.World:
+    """Return a world of boxes with a server of `desk` each, two seconds old."""
+    made = mesh_world.World(seed=seed)
+    made.use(policy_of(route(), pay()))
+    for index in range(boxes):
+        made.add_box(f"box-{index}", f"hall-{index % zones}", "desk", **server)
+    made.run(2.0)
+    return made
+
+
+def ask(world: mesh_world.World, box: str, **more: object) -> mesh_world.Asked:
+    values = {"host": HOST, "path": "/look/1"} | more
+    return world.request(world.boxes[box], **values)
+
+
+def post(world: mesh_world.World, box: str, **more: object) -> mesh_world.Asked:
+    return ask(world, box, path="/pay/1", once=True, **more)
--- /dev/null
+++ b/tests/mesh/test_core.py
@@ -0,0 +1,337 @@
+"""Daemons under a policy from the store, several cores in virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from ferrydeck.mesh import peers, policy
+from ferrydeck.replay import mesh_world
+from tests.mesh import samples
+
+
+def told_all(asked: list[mesh_world.Asked]) -> list[int]:
+    return [one.told.status if one.told else 0 for one in asked]
+
+
+def load(world, box, count, *, every_s=0.01, send=samples.ask, **more):
+    """Send requests one after the other while time passes."""
+    asked = []
+    for _ in range(count):
+        asked.append(send(world, box, **more))
+        world.run(every_s)
+    return asked
+
+
+def test_a_request_is_served_by_a_near_gate():
+    world = samples.world_of(4, zones=2)
+    asked = load(world, "box-0", 50)
+    world.run(1)
+    assert told_all(asked) == [200] * 50
+    used = {one.box for one in world.runs}
+    assert used <= {"box-0", "box-2"}
+    assert mesh_world.faults(world) == []
+
+
+def test_without_a_policy_a_request_is_refused_as_not_run():
+    world = mesh_world.World(seed=1)
+    world.add_box("box-0", "hall-0", "desk")
+    world.run(2)
+    box = world.boxes["box-0"]
+    assert not box.core.ready(world.now)
+    asked = samples.ask(world, "box-0")
+    assert asked.told.status == 503
+    assert asked.told.retry_after_s > 0
+
+
+def test_an_unknown_path_has_no_route():
+    world = samples.world_of(1)
+    asked = samples.ask(world, "box-0", path="/nowhere/1")
+    assert asked.told.status == 404
+
+
+def test_a_policy_given_by_a_peer_is_in_force_when_the_store_turns_a_box_away():
+    world = samples.world_of(3)
+    away = world.boxes["box-1"]
+    world.store_cut = lambda box: box is away
+    world.use(samples.policy_of(samples.route("new"), version=9))
+    world.run(1.5)
+    assert [box.core.rt.version for box in world.boxes.values()] == [9, 9, 9]
+
+
+def test_an_older_policy_is_never_taken():
+    world = samples.world_of(2)
+    world.use(samples.policy_of(samples.route("new"), version=9))
+    world.run(1)
+    world.use(samples.policy_of(samples.route("old"), version=8))
+    world.run(1)
+    assert {box.core.rt.version for box in world.boxes.values()} == {9}
+
+
+def test_a_box_that_starts_while_the_store_is_down_takes_the_policy_from_peers():
+    world = samples.world_of(3)
+    world.store_up = False
+    world.kill(world.boxes["box-2"], 0.5)
+    world.run(4)
+    box = world.boxes["box-2"]
+    assert box.core.ready(world.now)
+    assert box.core.rt.version == 4
+    asked = samples.ask(world, "box-2")
+    world.run(1)
+    assert asked.told.status == 200
+
+
+def test_a_leaving_server_gets_no_new_work_after_the_acknowledgement():
+    world = samples.world_of(3)
+    leaving = world.boxes["box-1"]
+    acks = world.drain(leaving)
+    world.run(0.01)
+    assert acks == [True]
+    acked_at = world.now
+    asked = load(world, "box-0", 100) + load(world, "box-1", 20)
+    world.run(1)
+    late = [one for one in world.runs if one.box == "box-1" and one.at > acked_at]
+    assert late == []
+    assert told_all(asked) == [200] * 120
+
+
+def test_a_leaving_holds_after_the_daemon_beside_it_was_killed():
+    world = samples.world_of(3)
+    leaving = world.boxes["box-1"]
+    world.drain(leaving, by_leave=True)
+    world.run(0.2)
+    world.kill(leaving, 0.3)
+    killed_at = world.now
+    world.run(2)
+    load(world, "box-0", 100)
+    late = [one for one in world.runs if one.box == "box-1" and one.at > killed_at]
+    assert late == []
+
+
+def test_a_late_report_of_a_leaving_server_does_not_open_its_gate():
+    world = samples.world_of(2)
+    leaving = world.boxes["box-1"]
+    world.drain(leaving)
+    world.run(0.1)
+    leaving.sequence = 0
+    world._beat(leaving, ready=True, gone=False, answered=lambda taken: None)
+    world.run(0.1)
+    assert leaving.core.gate.phase != "ready"
+
+
+def test_a_posting_whose_answer_is_lost_runs_once_and_is_not_called_refused():
+    world = samples.world_of(3)
+    for box in world.boxes.values():
+        box.server.loses_answers = True
+    asked = load(world, "box-0", 30, send=samples.post)
+    world.run(3)
+    assert told_all(asked) == [502] * 30
+    assert mesh_world.faults(world) == []
+
+
+def test_a_lookup_whose_answer_is_lost_is_asked_of_another_server():
+    world = samples.world_of(3)
+    world.boxes["box-0"].server.loses_answers = True
+    asked = load(world, "box-1", 10, every_s=0.3)
+    world.run(2)
+    assert told_all(asked) == [200] * 10
+
+
+def test_a_posting_is_sent_on_when_a_server_says_that_it_did_not_run():
+    world = samples.world_of(2)
+    world.boxes["box-0"].server.sheds = True
+    asked = load(world, "box-0", 3, every_s=0.5, send=samples.post)
+    world.run(2)
+    assert told_all(asked) == [200] * 3
+    assert mesh_world.faults(world) == []
+
+
+def test_repeats_stay_within_the_budget_when_all_servers_fail():
+    world = samples.world_of(5)
+    for box in world.boxes.values():
+        box.server.fails = True
+    count = 0
+    for _ in range(200):
+        for name in world.boxes:
+            samples.ask(world, name)
+            count += 1
+        world.run(0.02)
+    world.run(3)
+    repeats = len(world.runs) - len({one.request_id for one in world.runs})
+    assert repeats <= 0.2 * count + 48
+    assert repeats > 0
+
+
+def test_requests_beyond_the_slots_wait_or_are_refused_early():
+    world = samples.world_of(2, slots=2, work_s=0.2)
+    asked = [samples.ask(world, "box-0") for _ in range(60)]
+    world.run(3)
+    served = [one for one in asked if one.told.status == 200]
+    refused = [one for one in asked if one.told.status == 503]
+    assert len(served) + len(refused) == 60
+    assert served
+    assert refused
+    for one in refused:
+        assert one.told.at - one.at <= 0.25 * 1.0 + 0.05
+        assert one.told.retry_after_s > 0
+    assert not any(not one.ran for one in world.runs)
+
+
+def test_postings_are_refused_last():
+    world = samples.world_of(2, slots=2, work_s=0.1)
+    posts, looks = [], []
+    for _ in range(100):
+        posts.append(samples.post(world, "box-0"))
+        looks += [samples.ask(world, "box-0") for _ in range(3)]
+        world.run(0.05)
+    world.run(3)
+    served = sum(one.told.status == 200 for one in posts)
+    assert served >= 98
+    assert sum(one.told.status == 200 for one in looks) < 200
+
+
+def test_no_more_requests_are_at_a_server_than_it_has_slots():
+    world = samples.world_of(1, slots=3, work_s=0.1)
+    for _ in range(50):
+        samples.ask(world, "box-0")
+        assert len(world.boxes["box-0"].server.at_work) <= 3
+        world.run(0.01)
+    assert all(one.ran for one in world.runs)
+
+
+def test_a_caller_that_leaves_takes_its_request_off_the_server():
+    world = samples.world_of(2, work_s=1.0)
+    asked = samples.ask(world, "box-0")
+    world.run(0.1)
+    world.leave_caller(asked)
+    world.run(0.05)
+    assert not any(box.server.at_work for box in world.boxes.values())
+
+
+def test_a_posting_runs_on_when_its_caller_leaves():
+    world = samples.world_of(2, work_s=0.5)
+    asked = samples.post(world, "box-0")
+    world.run(0.1)
+    world.leave_caller(asked)
+    world.run(0.05)
+    assert any(box.server.at_work for box in world.boxes.values())
+
+
+def test_a_request_gets_its_final_answer_at_the_timeout_of_its_route():
+    world = samples.world_of(1, work_s=10)
+    asked = samples.ask(world, "box-0", deadline_s=5.0)
+    world.run(2.1)
+    assert asked.told.status == 504
+    assert asked.told.at - asked.at <= 2.0
+
+
+def test_a_server_is_given_no_more_time_than_is_left():
+    world = samples.world_of(2)
+    samples.ask(world, "box-0", deadline_s=0.4)
+    world.run(1)
+    assert all(one.left_s <= 0.4 for one in world.runs)
+
+
+def test_requests_at_a_frozen_box_are_asked_of_another():
+    world = samples.world_of(3, work_s=0.3)
+    frozen = world.boxes["box-1"]
+    asked = load(world, "box-0", 20, every_s=0.01)
+    frozen.frozen_until = world.now + 4
+    world.run(3)
+    assert told_all(asked).count(200) >= 18
+    after = load(world, "box-0", 20, every_s=0.02)
+    world.run(1.5)
+    assert told_all(after) == [200] * 20
+    world.run(4)
+    assert mesh_world.faults(world) == []
+
+
+def test_what_reaches_a_frozen_box_late_is_not_started():
+    world = samples.world_of(2, work_s=0.05)
+    frozen = world.boxes["box-1"]
+    frozen.frozen_until = world.now + 3
+    world.boxes["box-0"].server.slots = 1
+    asked = [samples.post(world, "box-0", deadline_s=0.5) for _ in range(20)]
+    world.run(6)
+    late = [one for one in world.runs if one.at > asked[0].at + 0.6]
+    assert late == []
+    assert mesh_world.faults(world) == []
+
+
+def test_a_new_lifetime_of_a_server_gets_only_what_was_meant_for_it():
+    world = samples.world_of(2)
+    world.replace_server(world.boxes["box-1"])
+    asked = load(world, "box-0", 40, every_s=0.05)
+    world.run(3)
+    assert told_all(asked) == [200] * 40
+    assert mesh_world.faults(world) == []
+
+
+def test_a_dead_server_is_avoided_until_it_reports_again():
+    world = samples.world_of(3)
+    world.boxes["box-1"].server.up = False
+    asked = load(world, "box-0", 60)
+    world.run(1)
+    assert told_all(asked) == [200] * 60
+    world.boxes["box-1"].server.up = True
+    world.run(3)
+    assert world.boxes["box-1"].core.gate.phase == "ready"
+
+
+def test_a_planned_stop_cuts_nothing_and_is_over_in_time():
+    world = samples.world_of(3, work_s=0.3)
+    asked = load(world, "box-1", 20, every_s=0.02)
+    world.stop(world.boxes["box-1"])
+    asked += load(world, "box-1", 40, every_s=0.02)
+    assert not world.boxes["box-1"].core.ready(world.now)
+    world.run(5)
+    assert told_all(asked) == [200] * 60
+    assert not world.boxes["box-1"].up
+
+
+def test_kills_of_daemons_leave_no_wrong_answer():
+    world = samples.world_of(5, zones=2, seed=3)
+    asked = []
+    for step in range(200):
+        for name in world.boxes:
+            if world.boxes[name].up:
+                send = samples.post if step % 3 == 0 else samples.ask
+                asked.append(send(world, name))
+        if step % 40 == 20:
+            victim = world.rng.choice(list(world.boxes.values()))
+            if victim.up:
+                world.kill(victim)
+        world.run(0.02)
+    world.run(5)
+    assert mesh_world.faults(world) == []
+    assert told_all(asked).count(200) > 0.9 * len(asked)
+
+
+def test_a_cut_between_zones_leaves_each_serving_itself():
+    world = samples.world_of(4, zones=2)
+    world.cut = lambda one, other: one.zone != other.zone
+    asked = load(world, "box-0", 50, every_s=0.05)
+    world.run(2)
+    assert told_all(asked) == [200] * 50
+    world.cut = lambda one, other: False
+    world.run(4)
+    links = [
+        peer.link
+        for box in world.boxes.values()
+        for peer in box.core.peers.by_address.values()
+    ]
+    assert links == [peers.Link.UP] * 12
+
+
+def test_a_split_gets_its_weights():
+    world = mesh_world.World(seed=2)
+    parts = (
+        policy.Part(service="desk", weight=90),
+        policy.Part(service="book", weight=10),
+    )
+    world.use(samples.policy_of(samples.route(parts=parts)))
+    world.add_box("box-0", "hall-0", "desk")
+    world.add_box("box-1", "hall-0", "book")
+    world.run(2)
+    load(world, "box-0", 200, every_s=0.02)
+    share = sum(one.box == "box-1" for one in world.runs) / len(world.runs)
+    assert share == pytest.approx(0.1, abs=0.02)
