Turn away what would fail behind a server; weight ranks at the gate

Ruled out: strict order of ranks (starves the lowest), repeating every failed request (adds to the load that made it fail).

--- a/ferrydeck/mesh/budget.py
+++ b/ferrydeck/mesh/budget.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-SHARE_OF_RATIO = 0.4
-"""Part of the agreed ratio that is spent on own requests. Calls that a repeated
-run makes again are charged at the services that they go to, and nobody counts
-them here, so more than half is left for them."""
+SHARE_OF_RATIO = 0.25
+"""Part of the agreed ratio that is spent on own requests. Calls that a repeated run
+makes again count at the services that they go to: with chains of four services each
+level may add as much as the one above it."""
 SLACK_SHARE = 0.5
 """Part of the agreed slack that all daemons together spend without requests."""
 
--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -16,6 +16,8 @@
 """What a server adds that is still slow after its start."""
 FAILED_WEIGHT = 0.1
 """Weight of the newest request in the running share of failed ones."""
+OUTLIER_SHARE = 0.5
+"""A server is an outlier if another one fails less than this part as often."""
 FAILED_PROBE = 0.03
 """Share of requests that are sent to a failing server all the same, so that it is
 seen when it is well again."""
@@ -83,6 +85,18 @@
         else:
             peer.failed += FAILED_WEIGHT * (failed - peer.failed)
 
+    def outlier(self, peer: peers.Peer | None, service: str) -> bool:
+        """Tell whether a server that failed does so more often than another one.
+
+        Where all fail alike the cause lies further down, and asking another server
+        would only add to it.
+        """
+        failed = self.own_failed if peer is None else peer.failed
+        others = [one.failed for one in self._candidates(service) if one.open]
+        if self.rt.identity.service == service:
+            others.append(self.own_failed)
+        return min(others, default=failed) < OUTLIER_SHARE * failed
+
     def _own_score(self, now: float) -> float:
         score = self.gate.busy / self.gate.limit
         if now < self.gate.cold_until:
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -12,7 +12,15 @@
 
 import attrs
 
-from ferrydeck.mesh import effects, events, messages, policy, runtime
+from ferrydeck.mesh import (
+    effects,
+    events,
+    messages,
+    policy,
+    pressure,
+    queueing,
+    runtime,
+)
 
 QUEUE_TICK_S = 0.02
 """How often waiting requests are looked at, seconds."""
@@ -31,9 +39,14 @@
 RETRY_AFTER_LEAST_S = 0.05
 RETRY_AFTER_MOST_S = 1.0
 """Bounds of the time after which a refused caller is told to come back, seconds."""
+PRESSURE_RETRY_S = 0.5
+"""When a request is told to come back that was turned away because of failures
+behind the server, seconds: two windows of the control."""
 STALL_S = 1.0
 """A server that holds requests and has answered nothing for this long, and whose
 last report is older than two intervals, takes no new work, seconds."""
+LATE_WEIGHT = 0.5
+"""What a late answer counts beside a failed one: it earns a third of its benefit."""
 OWN = 0
 """The link number of requests that began on this box."""
 
@@ -64,9 +77,9 @@
     streaming: bool = False
 
     @property
-    def order(self) -> tuple[int, float]:
-        """Return its place among the requests that wait: the smallest goes first."""
-        return (self.forward.priority, self.arrived)
+    def rank(self) -> int:
+        """Return its rank in the order of shedding."""
+        return self.forward.priority
 
 
 @attrs.define(kw_only=True)
@@ -82,7 +95,8 @@
     cold_until: float = 0.0
     stopping: bool = False
     running: dict[int, Job] = attrs.Factory(dict)
-    waiting: list[Job] = attrs.Factory(list)
+    waiting: queueing.RankQueue[Job] = attrs.Factory(queueing.RankQueue)
+    pressure: pressure.Pressure = attrs.Factory(pressure.Pressure)
     by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
     hold_s: float = HOLD_START_S
     left: set[str] = attrs.Factory(set)
@@ -197,8 +211,7 @@
         job = self.by_number.get((link, number))
         if job is None:
             return
-        if job in self.waiting:
-            self.waiting.remove(job)
+        if self.waiting.remove(job.rank, job):
             self._forget(job)
             self._refuse(now, job, messages.Reason.CANCELLED)
             return
@@ -235,6 +248,7 @@
             self._break(now, job, messages.Reason.BAD_ANSWER)
             self.rt.emit(effects.CancelDispatch(dispatch=event.dispatch))
             return
+        self._count_pressure(now, job, failed=event.status >= 500)
         if event.more:
             job.streaming = True
         else:
@@ -285,9 +299,7 @@
         self._queue_timer = False
         late = [job for job in self.waiting if now >= job.wait_until]
         for job in late:
-            self.waiting.remove(job)
-            self._forget(job)
-            self._refuse(now, job, messages.Reason.OVERLOAD)
+            self._drop(now, job)
         self._next(now)
         self._keep_looking(now)
 
@@ -323,6 +335,9 @@
             return messages.Reason.INSTANCE
         if self._stalled(now):
             return messages.Reason.CLOSED
+        control = self.pressure.route(forward.route)
+        if forward.lowest and control.turns_away(now):
+            return messages.Reason.PRESSURE
         return None
 
     def _stalled(self, now: float) -> bool:
@@ -336,22 +351,18 @@
 
     def _wait(self, now: float, job: Job) -> None:
         """Have a request wait, or refuse what is least urgent."""
-        self.waiting.append(job)
-        self.waiting.sort(key=lambda one: one.order)
-        if len(self.waiting) > QUEUE_MOST * self.limit:
-            self._drop(now, self.waiting[-1])
-        elif self._wait_s(job) > job.wait_until - now:
+        ahead = self.waiting.ahead(job.rank) + 1
+        wait_s = ahead * self.hold_s / self.limit
+        self.waiting.push(job.rank, job)
+        if wait_s > job.wait_until - now:
             self._drop(now, job)
+        elif len(self.waiting) > QUEUE_MOST * self.limit:
+            self._drop(now, self.waiting.last())
         self._next(now)
         self._keep_looking(now)
 
-    def _wait_s(self, job: Job) -> float:
-        """Return how long a request will wait, seconds."""
-        ahead = self.waiting.index(job) + 1
-        return ahead * self.hold_s / self.limit
-
     def _drop(self, now: float, job: Job) -> None:
-        self.waiting.remove(job)
+        self.waiting.remove(job.rank, job)
         self._forget(job)
         self._refuse(now, job, messages.Reason.OVERLOAD)
 
@@ -363,7 +374,7 @@
     def _next(self, now: float) -> None:
         """Start what waits while there is room."""
         while self.waiting and len(self.running) < self.limit:
-            job = self.waiting.pop(0)
+            job = self.waiting.pop()
             if job.deadline - now < LEAST_LEFT_S:
                 self._forget(job)
                 self._refuse(now, job, messages.Reason.EXPIRED)
@@ -398,7 +409,14 @@
     def _forget(self, job: Job) -> None:
         self.by_number.pop((job.link, job.forward.number), None)
 
+    def _count_pressure(self, now: float, job: Job, *, failed: bool) -> None:
+        """Have an answer count for how much of its route is turned away."""
+        late = now - job.arrived > job.forward.target_s
+        weight = 1.0 if failed else LATE_WEIGHT * late
+        self.pressure.route(job.forward.route).ended(now, weight)
+
     def _break(self, now: float, job: Job, reason: messages.Reason) -> None:
+        self._count_pressure(now, job, failed=True)
         self._end(now, job)
         self._note(job, "broken", reason)
         number = job.forward.number
@@ -435,22 +453,23 @@
         refused = messages.Refused(
             number=job.forward.number,
             reason=reason,
-            retry_after_s=self._retry_after_s(),
+            retry_after_s=self._retry_after_s(reason),
             offered=offered,
             busy=self.busy,
             level=self.level(now),
         )
         self.reply(now, job, refused)
 
-    def _retry_after_s(self) -> float:
+    def _retry_after_s(self, reason: messages.Reason) -> float:
         """Return when there will be room again, spread so that callers are too."""
         clear_s = (len(self.waiting) + 1) * self.hold_s / self.limit
+        if reason is messages.Reason.PRESSURE:
+            clear_s = PRESSURE_RETRY_S
         spread = 0.75 + 0.5 * self.rt.rng.random()
         return min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, clear_s * spread))
 
     def _refuse_waiting(self, now: float, reason: messages.Reason) -> None:
-        waiting, self.waiting = self.waiting, []
-        for job in waiting:
+        for job in self.waiting.clear():
             self._forget(job)
             self._refuse(now, job, reason)
 
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -22,6 +22,8 @@
     INSTANCE = "instance"
     """Another lifetime of the server answers there."""
     OVERLOAD = "overload"
+    PRESSURE = "pressure"
+    """Too many requests of the route fail behind the server."""
     EXPIRED = "expired"
     CANCELLED = "cancelled"
     SERVER_REFUSED = "server-refused"
@@ -133,7 +135,12 @@
     """Time left when this was sent, seconds."""
     wait_s: float
     """How long it may wait for a slot, seconds."""
+    target_s: float
+    """Time left until its answer is late, seconds."""
+    route: str
     priority: int
+    lowest: bool
+    """Whether its rank is the one that is shed first."""
     repeatable: bool
 
 
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -89,6 +89,8 @@
     may_have_run: bool = False
     streaming: bool = False
     policy_version: int = 0
+    lowest: bool = False
+    """Whether its rank is the one that is shed first."""
 
     @property
     def request_id(self) -> str:
@@ -159,7 +161,8 @@
         self._told(now, peer, message)
         failed = message.status >= 500
         self.chooser.ended(peer, failed)
-        if failed and not message.more and self._may_repeat(now, call):
+        outlier = failed and self.chooser.outlier(peer, call.service)
+        if outlier and not message.more and self._may_repeat(now, call):
             self._end_attempt(call)
             call.may_have_run = True
             self._try(now, call)
@@ -283,6 +286,7 @@
             deadline=now + held_s,
             give_up_at=now + self._patience_s(route, held_s),
             policy_version=self.rt.version,
+            lowest=route.priority >= self.rt.policy.lowest_rank,
         )
 
     def _patience_s(self, route: policy.Route, held_s: float) -> float:
@@ -328,7 +332,10 @@
             sent_s=now,
             left_s=call.deadline - now,
             wait_s=max(0.0, call.give_up_at - now),
+            target_s=call.started + call.route.target_s - now,
+            route=call.route.name,
             priority=call.route.priority,
+            lowest=call.lowest,
             repeatable=call.route.repeatable,
         )
         if peer is None:
@@ -379,7 +386,8 @@
         self, now: float, call: Call, reason: str, retry_after_s: float
     ) -> None:
         """Show a request that was not run to another gate, or refuse it."""
-        if call.hops < HOPS and now < call.give_up_at:
+        final = reason == messages.Reason.PRESSURE
+        if not final and call.hops < HOPS and now < call.give_up_at:
             self._try(now, call)
             return
         self._refuse(now, call, reason, retry_after_s)
--- a/ferrydeck/platform/manifest.py
+++ b/ferrydeck/platform/manifest.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -59,24 +58,22 @@
 def _each(table: dict, name: str, make: Any, report: findings.Report) -> list[Any]:
     made = []
     try:
-        rows = list(_rows(table[name]))
-    except (KeyError, TypeError, ValueError) as exc:
+        columns, rows = table[name]["columns"], list(table[name]["rows"])
+    except (KeyError, TypeError) as exc:
         report.add(name, f"expected columns and rows: {exc!r}")
         return made
     for index, row in enumerate(rows):
         try:
-            made.append(make(row))
-        except (KeyError, TypeError, ValueError) as exc:
+            made.append(make(_named(columns, row)))
+        except (KeyError, TypeError, ValueError, AttributeError) as exc:
             report.add(f"{name}[{index}]", repr(exc))
     return made
 
 
-def _rows(held: dict[str, Any]) -> Iterator[dict[str, Any]]:
-    """Yield the rows with the names of their columns; left-out values are not there."""
-    columns = held["columns"]
-    for row in held["rows"]:
-        named = zip(columns, row, strict=True)
-        yield {name: value for name, value in named if value is not None}
+def _named(columns: list[str], row: list[Any]) -> dict[str, Any]:
+    """Return the values of a row by column; those left out are not there."""
+    named = zip(columns, row, strict=True)
+    return {name: value for name, value in named if value is not None}
 
 
 def _route(row: dict[str, Any]) -> policy.Route:
--- /dev/null
+++ b/tests/unit/test_http.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import pytest
+
+from ferrydeck.net import bodies, http
+
+
+def request(text: str, **more: object) -> http.RequestHead | http.Malformed:
+    return http.read_request(text.encode("latin-1"), **more)
+
+
+def test_a_head_is_read():
+    head = request("POST /a/b?c=1 HTTP/1.1\r\nHost: H\r\nContent-Length: 5\r\n\r\n")
+    assert (head.method, head.path, head.length) == ("POST", "/a/b?c=1", 5)
+    assert head.fields == [("host", "H"), ("content-length", "5")]
+    assert head.keep_alive
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "GET /a HTTP/1.1\nHost: h\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\nX: y\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\r\n folded\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: h\rX: y\r\n\r\n",
+        "GET /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
+        "GET /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "GET /a HTTP/1.1\r\nContent-Length: +5\r\n\r\n",
+        "GET /a HTTP/1.1\r\nContent-Length: abc\r\n\r\n",
+        "GET /a HTTP/1.1\r\nContent Length: 5\r\n\r\n",
+        "GET /a HTTP/1.1\r\nHost : h\r\n\r\n",
+        "GET /a HTTP/2\r\n\r\n",
+        "GET  /a HTTP/1.1\r\n\r\n",
+        "GET a HTTP/1.1\r\n\r\n",
+        "GET //a HTTP/1.1\r\n\r\n",
+        "GET /a#b HTTP/1.1\r\n\r\n",
+        "GET /a HTTP/1.1\r\nX: a\0b\r\n\r\n",
+        "GET /a HTTP/1.1\r\nno colon\r\n\r\n",
+    ],
+)
+def test_what_hops_could_read_differently_is_refused(text):
+    assert request(text, chunks=True) == http.Malformed(
+        status=400, detail=request(text, chunks=True).detail
+    )
+
+
+def test_chunks_with_a_length_are_refused():
+    text = "POST /a HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+    assert request(text, chunks=True).status == 400
+
+
+def test_another_coding_than_chunked_is_refused():
+    text = "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+    assert request(text, chunks=True).status == 400
+
+
+def test_a_body_over_the_limit_is_refused():
+    text = "POST /a HTTP/1.1\r\nContent-Length: 50\r\n\r\n"
+    assert request(text, most=49).status == 413
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    assert http.read_response(head).status == 502
+    assert http.read_response(head, until_close=True).length == http.UNTIL_CLOSE
+
+
+def take_all(reader: bodies.BodyReader, data: bytes, step: int) -> tuple[bytes, bytes]:
+    """Feed bytes in steps; return the body and what is left over."""
+    buffer = bytearray()
+    out = b""
+    for start in range(0, len(data), step):
+        buffer += data[start : start + step]
+        out += reader.take(buffer)
+    return out, bytes(buffer)
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 7, 100])
+def test_chunks_are_read_however_they_come(step):
+    data = b"5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nT: v\r\n\r\nGET /next"
+    reader = bodies.BodyReader(length=http.CHUNKED)
+    assert take_all(reader, data, step) == (b"hello world", b"GET /next")
+    assert reader.done
+
+
+@pytest.mark.parametrize("step", [1, 3, 100])
+def test_a_length_is_kept_to(step):
+    reader = bodies.BodyReader(length=5)
+    assert take_all(reader, b"hellonext", step) == (b"hello", b"next")
+    assert reader.done
+
+
+@pytest.mark.parametrize(
+    "data", [b"x\r\n", b"\r\n", b"-1\r\n", b"5\r\nhelloXX\r\n", b"1" * 2000]
+)
+def test_bad_chunks_are_refused(data):
+    reader = bodies.BodyReader(length=http.CHUNKED)
+    with pytest.raises(bodies.BadBody):
+        reader.take(bytearray(data))
+
+
+def test_a_body_that_stops_midway_is_not_whole():
+    reader = bodies.BodyReader(length=5)
+    reader.take(bytearray(b"hel"))
+    assert not reader.ended()
+    reader = bodies.BodyReader(length=http.UNTIL_CLOSE)
+    assert reader.take(bytearray(b"hel")) == b"hel"
+    assert reader.ended()
