--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -342,7 +342,8 @@
 
     def _stalled(self, now: float) -> bool:
         """Tell whether the server has fallen silent."""
-        if not self.running or not self._beat_at:
+        quiet = now - self._answered_at > STALL_S
+        if not quiet or not self.running or not self._beat_at:
             return False
         oldest = min(job.started for job in self.running.values())
         silent_s = now - max(oldest, self._answered_at)
--- a/ferrydeck/mesh/peers.py
+++ b/ferrydeck/mesh/peers.py
@@ -10,9 +10,9 @@
 
 TICK_S = 0.1
 """How often links are looked after, seconds."""
-PING_IDLE_S = 0.5
+PING_IDLE_S = 1.0
 """A link on which nothing was sent for this long gets a ping, seconds: an idle
-fleet of 15 then sends some 30 small messages a second from each daemon."""
+fleet of 15 then sends 14 small messages a second from each daemon."""
 PING_WAITING_S = 0.1
 """A link on which an answer is waited for this long gets a ping, seconds."""
 SUSPECT_S = 0.35
