Hold back what meets a full service behind; refuse what comes long after a stop

Now requests from 3 s after the signal are refused as not run. Gates learn from the calling boxes which routes servers send, tell such callers how hard to hold back, and a gate turns away the lowest rank of routes whose runs hang on those calls. Servers get 95 in 100 of their slots.

--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -240,8 +240,8 @@
                 self.origin.refused(now, peer, message)
             case messages.Broken():
                 self.origin.broken(now, peer, message)
-            case messages.Pong(version=version, busy=busy, level=level):
-                peer.told(now, busy, level)
+            case messages.Pong(version=version, busy=busy):
+                peer.told(now, busy)
                 self._heard_version(now, peer, version)
             case messages.GateState():
                 self.peers.gate_told(now, peer, message)
@@ -298,9 +298,7 @@
         self._ask_back(now, link, hello.version)
 
     def _pinged(self, now: float, link: int, version: int) -> None:
-        pong = messages.Pong(
-            version=self.rt.version, busy=self.gate.busy, level=self.gate.level(now)
-        )
+        pong = messages.Pong(version=self.rt.version, busy=self.gate.busy)
         self._send_back(link, pong)
         self._ask_back(now, link, version)
 
@@ -449,6 +447,7 @@
         if since >= GATE_CLOSES_S and not self.gate.stopping:
             self.gate.stop(now)
             self.rt.emit(effects.StopTaking())
+        self.origin.closed = since >= STAY_S
         idle = not self.origin.by_conn and not self.gate.busy
         over = since >= self.terms.grace_s - END_MARGIN_S
         if over or (since >= STAY_S and idle):
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -13,6 +13,7 @@
 import attrs
 
 from ferrydeck.mesh import (
+    callgraph,
     effects,
     events,
     messages,
@@ -26,6 +27,9 @@
 """How often waiting requests are looked at, seconds."""
 LEAST_LEFT_S = 0.01
 """A request with less time left than this is not started, seconds."""
+FULL_SHARE = 0.95
+"""Part of its slots that a server is given: some become slower when nearly full, and
+a new connection or a health check may hold a slot too."""
 UNKNOWN_SLOTS = 8
 """Requests at a server at once while its slots are not known."""
 HOLD_START_S = 0.1
@@ -96,7 +100,11 @@
     stopping: bool = False
     running: dict[int, Job] = attrs.Factory(dict)
     waiting: queueing.RankQueue[Job] = attrs.Factory(queueing.RankQueue)
-    pressure: pressure.Pressure = attrs.Factory(pressure.Pressure)
+    controls: pressure.Pressure = attrs.Factory(pressure.Pressure)
+    wait_level: pressure.WaitLevel = attrs.Factory(pressure.WaitLevel)
+    callers: callgraph.Callers = attrs.Factory(callgraph.Callers)
+    calls_each: callgraph.CallsEach = attrs.Factory(callgraph.CallsEach)
+    downstream: callgraph.Downstream = attrs.Factory(callgraph.Downstream)
     by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
     hold_s: float = HOLD_START_S
     left: set[str] = attrs.Factory(set)
@@ -117,7 +125,7 @@
     @property
     def limit(self) -> int:
         """Requests at the server at once."""
-        return self.slots or UNKNOWN_SLOTS
+        return max(1, int(FULL_SHARE * self.slots)) if self.slots else UNKNOWN_SLOTS
 
     def state(self, now: float) -> messages.GateState:
         """Return how the gate stands, to be told to the other daemons."""
@@ -196,6 +204,7 @@
     ) -> None:
         """Admit a request, have it wait, or refuse it."""
         job = self._job(now, link, forward, delay_s)
+        self.callers.see(forward.route, forward.caller)
         reason = self._fault(now, job)
         if reason is not None:
             self._refuse(now, job, reason)
@@ -261,7 +270,7 @@
             more=event.more,
             total=event.total,
             busy=self.busy,
-            level=self.level(now),
+            level=self.level(now, job.forward),
         )
         self.reply(now, job, answer)
         self._next(now)
@@ -303,11 +312,21 @@
         self._next(now)
         self._keep_looking(now)
 
-    def level(self, now: float) -> float:
-        """Return how hard callers should hold back, 0 to 1."""
-        if not self.waiting:
+    def level(self, now: float, forward: messages.Forward) -> float:
+        """Return how hard a calling server's requests are to be held back, 0 to 1.
+
+        Below 0 for a request of a client: there is nothing behind it to hold back.
+        """
+        if not self.callers.by_servers(forward.route):
+            return messages.NO_LEVEL
+        self.wait_level.settle(now)
+        return max(self.wait_level.value, self._behind(now, forward))
+
+    def _behind(self, now: float, forward: messages.Forward) -> float:
+        """Return how hard the services that a request's run calls ask to hold back."""
+        if not self.calls_each.makes_calls(forward.route):
             return 0.0
-        return min(1.0, len(self.waiting) / (QUEUE_MOST * self.limit))
+        return self.downstream.level(now)
 
     def _job(
         self, now: float, link: int, forward: messages.Forward, delay_s: float
@@ -335,8 +354,8 @@
             return messages.Reason.INSTANCE
         if self._stalled(now):
             return messages.Reason.CLOSED
-        control = self.pressure.route(forward.route)
-        if forward.lowest and control.turns_away(now):
+        control = self.controls.route(forward.route)
+        if forward.lowest and control.turns_away(now, self._behind(now, forward)):
             return messages.Reason.PRESSURE
         return None
 
@@ -363,6 +382,7 @@
         self._keep_looking(now)
 
     def _drop(self, now: float, job: Job) -> None:
+        self.wait_level.waited(now, job.wait_until - job.arrived)
         self.waiting.remove(job.rank, job)
         self._forget(job)
         self._refuse(now, job, messages.Reason.OVERLOAD)
@@ -384,6 +404,8 @@
 
     def _start(self, now: float, job: Job) -> None:
         job.started = now
+        self.wait_level.waited(now, now - job.arrived)
+        self.calls_each.ran(now, job.forward.route)
         self.running[job.dispatch] = job
         forward = job.forward
         self.rt.emit(
@@ -414,7 +436,7 @@
         """Have an answer count for how much of its route is turned away."""
         late = now - job.arrived > job.forward.target_s
         weight = 1.0 if failed else LATE_WEIGHT * late
-        self.pressure.route(job.forward.route).ended(now, weight)
+        self.controls.route(job.forward.route).ended(now, weight)
 
     def _break(self, now: float, job: Job, reason: messages.Reason) -> None:
         self._count_pressure(now, job, failed=True)
@@ -457,7 +479,7 @@
             retry_after_s=self._retry_after_s(reason),
             offered=offered,
             busy=self.busy,
-            level=self.level(now),
+            level=self.level(now, job.forward),
         )
         self.reply(now, job, refused)
 
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -7,6 +7,8 @@
 import msgspec
 
 PROTOCOL = 2
+NO_LEVEL = -1.0
+"""The level told to a client's request: nothing behind it is to be held back."""
 Fields = list[tuple[str, str]]
 """Header fields in the order in which they came."""
 
@@ -16,6 +18,7 @@
 
     NO_POLICY = "no-policy"
     NO_ROUTE = "no-route"
+    STOPPING = "stopping"
     NO_SERVER = "no-server"
     CLOSED = "closed"
     """The gate takes no new work: its daemon or its server is leaving."""
@@ -102,7 +105,6 @@
 
     version: int
     busy: int
-    level: float
 
 
 class PolicyAsk(Message, tag=6):
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -111,6 +111,8 @@
     by_conn: dict[int, Call] = attrs.Factory(dict)
     by_number: dict[int, Call] = attrs.Factory(dict)
     by_attempt: dict[int, Call] = attrs.Factory(dict)
+    closed: bool = False
+    """Whether no further request is taken, since the daemon is about to end."""
 
     def start(self, now: float) -> None:
         """Begin to look for requests at silent boxes."""
@@ -119,7 +121,12 @@
     def taken(self, now: float, request: events.RequestTaken) -> None:
         """Take a request."""
         if self.rt.policy is None:
-            self._decline(request, NOT_RUN_STATUS, messages.Reason.NO_POLICY, 1.0)
+            reason = messages.Reason.NO_POLICY
+            self._decline(request, NOT_RUN_STATUS, reason, STARTING_RETRY_S)
+            return
+        if self.closed:
+            reason = messages.Reason.STOPPING
+            self._decline(request, NOT_RUN_STATUS, reason, RETRY_AFTER_S)
             return
         route = self.rt.policy.find(request.host, request.target)
         if route is None:
@@ -362,7 +369,10 @@
         message: messages.Answer | messages.Refused,
     ) -> None:
         if peer is not None:
-            peer.told(now, message.busy, message.level)
+            peer.told(now, message.busy)
+        if message.level >= 0:
+            self.gate.downstream.told(now, message.level)
+            self.gate.calls_each.called(now)
 
     def _end_attempt(self, call: Call) -> None:
         self.by_attempt.pop(call.attempt, None)
--- a/ferrydeck/mesh/peers.py
+++ b/ferrydeck/mesh/peers.py
@@ -72,8 +72,6 @@
     told_busy: int = 0
     """Requests there, as last told, less those sent from here."""
     told_at: float = -1e9
-    level: float = 0.0
-    """How hard the box asks callers to hold back, 0 to 1."""
     failed: float = 0.0
     """Recent share of requests that its server failed or refused."""
     version: int = 0
@@ -89,11 +87,10 @@
         ready = gate is not None and gate.phase == messages.Phase.READY
         return ready and self.link is Link.UP
 
-    def told(self, now: float, busy: int, level: float) -> None:
+    def told(self, now: float, busy: int) -> None:
         """Note the load that the box tells."""
         self.told_busy = max(0, busy - len(self.out))
         self.told_at = now
-        self.level = level
 
     def busy(self, now: float) -> float:
         """Return how many requests are likely there now."""
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -335,3 +335,55 @@
     load(world, "box-0", 200, every_s=0.02)
     share = sum(one.box == "box-1" for one in world.runs) / len(world.runs)
     assert share == pytest.approx(0.1, abs=0.02)
+
+
+def test_what_comes_long_after_the_signal_to_stop_is_refused_not_cut():
+    world = samples.world_of(3, work_s=0.4)
+    box = world.boxes["box-1"]
+    world.stop(box)
+    asked = load(world, "box-1", 120, every_s=0.05)
+    assert not box.up
+    taken = [one for one in asked if one.at < 6.0 + 2.0 and one.told is not None]
+    assert {one.told.status for one in taken} == {200, 503}
+    unanswered = [one for one in asked if one.told is None and one.at < 2.0 + 3.5]
+    assert unanswered == []
+
+
+def chain_of(seed: int = 1) -> mesh_world.World:
+    """Clients ask `desk`; its servers call `deep`, which clients ask too."""
+    world = mesh_world.World(seed=seed)
+    look = samples.route(target_s=1.0)
+    call = samples.route(
+        "call", priority=1, parts=(policy.Part(service="deep", weight=1),)
+    )
+    plain = samples.route("plain")
+    world.use(samples.policy_of(look, call, plain))
+    world.add_box("box-0", "hall-0", "desk", slots=50, work_s=0.02)
+    world.add_box("box-1", "hall-0", "deep", slots=4, work_s=0.04)
+    world.run(2)
+    return world
+
+
+def test_a_full_service_behind_holds_back_what_would_call_it():
+    world = chain_of()
+    plains, looks = [], []
+    for step in range(1500):
+        burst = 500 < step < 1000
+        if step % 2 == 0 or burst:
+            looks.append(samples.ask(world, "box-0"))
+            if looks[-1].told is None:
+                samples.ask(world, "box-0", path="/call/1")
+        if step % 7 == 0:
+            plains.append(samples.ask(world, "box-0", path="/plain/1"))
+        for name in ("box-0", "box-1"):
+            if step % 5 == 0:
+                samples.ask(world, name, path="/plain/2")
+        world.run(0.01)
+    world.run(2)
+    gate = world.boxes["box-1"].core.gate
+    assert gate.callers.by_servers("call")
+    assert not gate.callers.by_servers("plain")
+    refused = [one for one in looks if one.told.status == 503]
+    assert refused
+    assert {one.told.reason for one in refused} == {"pressure"}
+    assert sum(one.told.status == 503 for one in plains) < 0.2 * len(plains)
