Give the policy on links in both directions; test the daemons as processes

Cause: a daemon that starts while the store is out asked for the policy on the link on which it was greeted, and the other side did not answer there; each ping asked there again, so the other direction was never used.

--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -250,6 +250,9 @@
                 self.peers.welcomed(now, peer, message)
                 self.origin.budget.see_daemons(1 + len(self.peers.by_address))
                 self._heard_version(now, peer, message.gate.version)
+            case messages.PolicyAsk():
+                if self.rt.policy is not None:
+                    self.peers.send(now, peer, self._policy_to_give())
             case messages.PolicyGive(raw=raw):
                 self._given(now, raw, peer.box)
             case messages.BeatRelayed(number=number, taken=taken):
@@ -275,7 +278,8 @@
                 peer_link.delay_s(now, sent_s)
                 self._pinged(now, link, version)
             case messages.PolicyAsk():
-                self._give_policy(link)
+                if self.rt.policy is not None:
+                    self._send_back(link, self._policy_to_give())
             case messages.PolicyGive(raw=raw):
                 self._given(now, raw, peer_link.box)
             case messages.BeatRelay():
@@ -314,11 +318,9 @@
             self._asked_at = now
             self.peers.send(now, peer, messages.PolicyAsk())
 
-    def _give_policy(self, link: int) -> None:
+    def _policy_to_give(self) -> messages.PolicyGive:
         held = self.rt.policy
-        if held is not None:
-            give = messages.PolicyGive(version=held.version, raw=held.raw)
-            self._send_back(link, give)
+        return messages.PolicyGive(version=held.version, raw=held.raw)
 
     def _given(self, now: float, raw: bytes, source: str) -> None:
         """Have a policy read that another daemon gave."""
--- a/ferrydeck/replay/mesh_world.py
+++ b/ferrydeck/replay/mesh_world.py
@@ -223,7 +223,7 @@
         """Have a server say that it leaves; the list gets the acknowledgement."""
         box.server.leaving = True
         acks: list[bool] = []
-        self._beat(box, ready=False, gone=by_leave, answered=acks.append)
+        self.report(box, ready=False, gone=by_leave, answered=acks.append)
         return acks
 
     def replace_server(self, box: Box) -> None:
@@ -241,7 +241,7 @@
     def report_forever(self, box: Box) -> None:
         """Have the server of a box report as long as it is up."""
         if box.server.up and not box.server.leaving:
-            self._beat(box, ready=True, gone=False, answered=lambda taken: None)
+            self.report(box, ready=True, gone=False, answered=lambda taken: None)
         self.after(1.5, lambda: self.report_forever(box))
 
     def feed(self, box: Box, event: events.Event) -> None:
@@ -501,7 +501,7 @@
         )
         self.feed_later(box, probed, 0.001)
 
-    def _beat(
+    def report(
         self,
         box: Box,
         *,
@@ -509,6 +509,7 @@
         gone: bool,
         answered: Callable[[bool], None],
     ) -> None:
+        """Have the server of a box report; `answered` gets the acknowledgement."""
         box.sequence += 1
         number = self.number()
         self.beats[number] = answered
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -113,7 +113,7 @@
     world.drain(leaving)
     world.run(0.1)
     leaving.sequence = 0
-    world._beat(leaving, ready=True, gone=False, answered=lambda taken: None)
+    world.report(leaving, ready=True, gone=False, answered=lambda taken: None)
     world.run(0.1)
     assert leaving.core.gate.phase != "ready"
 
@@ -387,3 +387,41 @@
     assert refused
     assert {one.told.reason for one in refused} == {"pressure"}
     assert sum(one.told.status == 503 for one in plains) < 0.2 * len(plains)
+
+
+def test_a_failed_request_is_not_repeated_where_all_servers_fail_alike():
+    world = samples.world_of(4)
+    for box in world.boxes.values():
+        box.server.fails = True
+    asked = [one for name in world.boxes for one in load(world, name, 60)]
+    world.run(2)
+    repeats = len(world.runs) - len({one.request_id for one in world.runs})
+    assert repeats <= 0.05 * len(asked)
+
+
+def test_a_failed_request_is_repeated_where_one_server_fails_alone():
+    world = samples.world_of(4)
+    world.boxes["box-1"].server.fails = True
+    asked = load(world, "box-0", 100, every_s=0.02)
+    world.run(2)
+    assert told_all(asked).count(200) >= 97
+
+
+def test_a_lifetime_that_has_left_is_not_opened_by_a_newer_report():
+    world = samples.world_of(2)
+    leaving = world.boxes["box-1"]
+    world.drain(leaving)
+    world.run(0.1)
+    leaving.sequence += 10
+    world.report(leaving, ready=True, gone=False, answered=lambda taken: None)
+    world.run(0.1)
+    assert leaving.core.gate.phase != "ready"
+
+
+def test_a_daemon_without_policy_gets_it_on_a_link_that_the_other_one_dialled():
+    world = samples.world_of(2)
+    world.store_up = False
+    box = world.boxes["box-1"]
+    world.kill(box, 0.5)
+    world.run(2.5)
+    assert box.core.rt.version == 4
--- /dev/null
+++ b/tests/platform/mesh_fleet.py
@@ -0,0 +1,205 @@
+"""Starts daemons, servers and a store as processes, and ends them by their ids."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import pathlib
+
+import attrs
+
+from ferrydeck.standins import fleet
+
+HOST = "calls.example"
+ROUTES = [
+    ["look", HOST, "/look/", "safe", "2000ms", "1000ms", 2, 2, "desk"],
+    ["pay", HOST, "/pay/", "unsafe", "2000ms", "1000ms", 0, 2, "desk"],
+]
+COLUMNS = ["name", "host", "path_prefix", "route_type", "timeout", "target_latency"]
+COLUMNS += ["priority", "max_attempts", "service"]
+ENDPOINTS = ("target", "calls", "ready", "reports")
+
+
+def manifest(version: int, routes: list[list[object]] = ROUTES) -> dict[str, object]:
+    return {
+        "version": f"r{version}",
+        "routes": {"columns": COLUMNS, "rows": routes},
+        "services": {
+            "columns": ["name", "health_path", "max_connections"],
+            "rows": [["desk", "/healthz", 100]],
+        },
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 100000},
+    }
+
+
+@attrs.define(kw_only=True)
+class Answer:
+    """An answer as a client sees it."""
+
+    status: int
+    fields: dict[str, str]
+    body: bytes
+
+
+def fetch(
+    address: str,
+    method: str,
+    path: str,
+    *,
+    body: object = None,
+    fields: dict[str, str] | None = None,
+    chunked: bool = False,
+) -> Answer:
+    conn = http.client.HTTPConnection(address, timeout=10)
+    try:
+        conn.request(method, path, body, fields or {}, encode_chunked=chunked)
+        response = conn.getresponse()
+        told = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(status=response.status, fields=told, body=response.read())
+    finally:
+        conn.close()
+
+
+@attrs.define(kw_only=True, eq=False)
+class MeshBox:
+    """A daemon with its server."""
+
+    name: str
+    ip: str
+    ports: dict[str, int]
+    settings: pathlib.Path
+    daemon: fleet.Process
+    server: fleet.Process
+
+    def address(self, endpoint: str) -> str:
+        return f"{self.ip}:{self.ports[endpoint]}"
+
+    def ready(self) -> bool:
+        return fetch(self.address("ready"), "GET", "/api/ready").status == 200
+
+    def call(self, path: str, request_id: str, **more: object) -> Answer:
+        method = more.pop("method", "GET")
+        fields = {"Host": HOST, "X-Attempt-Id": request_id, "X-Deadline-Ms": "2000"}
+        fields |= more.pop("fields", {})
+        return fetch(self.address("calls"), method, path, fields=fields, **more)
+
+    def ran(self) -> list[str]:
+        answer = fetch(self.address("target"), "GET", "/standin/ran")
+        return json.loads(answer.body)["ran"]
+
+    def control(self, what: str, body: bytes = b"") -> dict[str, object]:
+        answer = fetch(self.address("target"), "PUT", f"/standin/{what}", body=body)
+        return json.loads(answer.body)
+
+    def metric(self, name: str) -> float:
+        text = fetch(self.address("metrics"), "GET", "/metrics").body.decode()
+        for line in text.splitlines():
+            if line.startswith(name + " "):
+                return float(line.rpartition(" ")[2])
+        raise AssertionError(f"no metric {name}")
+
+    def lines(self) -> list[dict[str, object]]:
+        text = self.daemon.log.read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+
+class MeshFleet:
+    """A store, and daemons with a server of `desk` each, at IP numbers of their own."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: list[fleet.Process] = []
+        self.boxes: list[MeshBox] = []
+        self.store_port = fleet.free_port()
+        self.shared = {name: fleet.free_port() for name in ("link", "metrics")}
+        self.store = self.spawn(
+            "store",
+            "ferrydeck.standins.main",
+            "store",
+            "--port",
+            str(self.store_port),
+        )
+        fleet.eventually(lambda: self.control("state"), "the store answers")
+
+    spawn = fleet.Fleet.spawn
+    close = fleet.Fleet.close
+    faults_logged = fleet.Fleet.faults_logged
+
+    def control(self, what: str, body: bytes = b"") -> dict[str, object]:
+        address = f"{fleet.IP}:{self.store_port}"
+        answer = fetch(address, "PUT", f"/standin/{what}", body=body)
+        return json.loads(answer.body)
+
+    def use(self, table: dict[str, object]) -> None:
+        self.control("policy", json.dumps(table).encode())
+
+    def add_box(self, *, work_ms: float = 2.0, slots: int = 8) -> MeshBox:
+        number = len(self.boxes) + 1
+        ip = f"127.0.0.{number}"
+        ports = {name: fleet.free_port() for name in ENDPOINTS} | self.shared
+        settings = self.folder / f"box-{number}.toml"
+        settings.write_text(self.settings(number, ip, ports))
+        box = MeshBox(
+            name=f"box-{number}",
+            ip=ip,
+            ports=ports,
+            settings=settings,
+            daemon=self.start_daemon(number, settings),
+            server=self.spawn(
+                f"server-{number}",
+                "ferrydeck.standins.main",
+                "server",
+                "--ip",
+                ip,
+                "--port",
+                str(ports["target"]),
+                "--service",
+                "desk",
+                "--reports",
+                f"{ip}:{ports['reports']}",
+                "--work-ms",
+                str(work_ms),
+                "--slots",
+                str(slots),
+            ),
+        )
+        self.boxes.append(box)
+        return box
+
+    def start_daemon(self, number: int, settings: pathlib.Path) -> fleet.Process:
+        return self.spawn(
+            f"daemon-{number}", "ferrydeck.meshd", "--settings", str(settings)
+        )
+
+    def settings(self, number: int, ip: str, ports: dict[str, int]) -> str:
+        lines = [f'{name} = "{ip}:{ports[name]}"' for name in ENDPOINTS]
+        lines += [
+            f'box = "box-{number}"',
+            'data_centre = "hall-a"',
+            'region = "north"',
+            f'ip = "{ip}"',
+            'service = "desk"',
+            f'store = "{fleet.IP}:{self.store_port}"',
+            f"link_port = {ports['link']}",
+            f"metrics_port = {ports['metrics']}",
+            "[log]",
+            "served_per_s = 1000",
+            "[terms]",
+            'grace = "6s"',
+        ]
+        return "\n".join(lines) + "\n"
+
+    def wait_linked(self) -> None:
+        others = len(self.boxes) - 1
+        for box in self.boxes:
+            fleet.eventually(
+                lambda box=box: box.metric("ferrydeck_peers_linked") == others,
+                f"{box.name} is linked with all others",
+            )
+            fleet.eventually(box.ready, f"{box.name} is ready")
+            fleet.eventually(
+                lambda box=box: (
+                    box.call("/look/first", f"first-{box.name}").status == 200
+                ),
+                f"{box.name} serves",
+            )
