Prefer faster servers while all are free; tell a request's story from logs

Change: gates tell how long their server holds a request; a server that takes twice as long as the fastest counts as 0.3 of its slots fuller.

--- a/ferrydeck/cli.py
+++ b/ferrydeck/cli.py
@@ -14,6 +14,7 @@
     call,
     check,
     drain,
+    explain,
     keygen,
     replay,
     review,
@@ -33,6 +34,7 @@
     "drain": drain,
     "call": call,
     "replay": replay,
+    "explain": explain,
 }
 EXIT_HELP = (
     "exit codes: 0 done, 1 refused, 2 bad input, 3 not reachable or outcome not known"
--- a/ferrydeck/commands/check.py
+++ b/ferrydeck/commands/check.py
@@ -1,4 +1,4 @@
-"""`ferrydeck check`: check a settings file or a bundle."""
+"""`ferrydeck check`: check a settings file, a bundle or a policy of the store."""
 
 from __future__ import annotations
 
@@ -8,26 +8,42 @@
 from ferrydeck import outcomes
 from ferrydeck.commands import files
 from ferrydeck.config import bundle as bundles
-from ferrydeck.config import findings, settings
+from ferrydeck.config import findings, mesh_settings, settings
+from ferrydeck.platform import manifest
 
 EXAMPLE = "ferrydeck check box.toml"
 SETTINGS_KEY = "cluster"
+MESH_SETTINGS_KEY = "link_port"
 
 
 def configure(parser: argparse.ArgumentParser) -> None:
     """Declare the arguments."""
-    parser.add_argument("file", help="settings of a daemon, or a bundle, in TOML")
+    parser.add_argument(
+        "file",
+        help="settings of a daemon, or a bundle, in TOML; or a policy as the "
+        "platform's store holds it, in JSON",
+    )
 
 
 def run(args: argparse.Namespace) -> outcomes.Outcome:
     """Check the file and tell all findings."""
     raw = files.read_bytes(args.file)
-    try:
-        is_settings = SETTINGS_KEY in tomllib.loads(raw.decode())
-    except ValueError:
-        is_settings = True
-    loaded = settings.load(args.file) if is_settings else bundles.load(args.file)
+    kind, loaded = load(args.file, raw)
     if isinstance(loaded, findings.Rejected):
         return outcomes.BadInput(text=str(loaded), data=loaded.findings)
-    kind = "settings" if is_settings else "bundle"
     return outcomes.Done(text=f"{args.file}: ok ({kind})", data={"kind": kind})
+
+
+def load(name: str, raw: bytes) -> tuple[str, object]:
+    """Return what kind of file it is, and what was read or is wrong with it."""
+    if raw.lstrip().startswith(b"{"):
+        return "policy", manifest.read(raw, name)
+    try:
+        table = tomllib.loads(raw.decode())
+    except ValueError:
+        table = {SETTINGS_KEY: ""}
+    if MESH_SETTINGS_KEY in table:
+        return "settings", mesh_settings.load(name)
+    if SETTINGS_KEY in table:
+        return "settings", settings.load(name)
+    return "bundle", bundles.load(name)
--- /dev/null
+++ b/ferrydeck/commands/explain.py
@@ -0,0 +1,129 @@
+"""`ferrydeck explain`: tell from daemons' logs what became of a request."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from typing import Any
+
+import attrs
+import msgspec
+
+from ferrydeck import outcomes
+from ferrydeck.commands import files
+
+EXAMPLE = "ferrydeck explain 9c41d07be2a35f68 box-1.log box-2.log"
+
+CAUSES = {
+    ("refused", "overload"): "refused: every gate asked had no slot in time",
+    ("refused", "pressure"): "refused: too many such requests fail behind the server",
+    ("refused", "no-server"): "refused: no gate of the service took work",
+    ("refused", "closed"): "refused: the gates asked were closing",
+    ("refused", "server-refused"): "refused: the server said that it did not run it",
+    ("refused", "timeout"): "refused: its time was over before a server had it",
+    ("refused", "expired"): "refused: too little time was left",
+    ("declined", "no-policy"): "refused: the daemon had no policy yet",
+    ("declined", "no-route"): "no route for its host and path in the policy in force",
+    ("declined", "stopping"): "refused: the daemon was about to end",
+    ("unknown", "timeout"): "no answer by its deadline; it may have run",
+    ("unknown", "server-lost"): "the server's answer was lost; it may have run",
+    ("unknown", "link-lost"): "the link to the gate was lost; it may have run",
+    ("unknown", "bad-answer"): "the server's answer was not whole; it may have run",
+    ("aborted", "server-lost"): "a long answer broke off with its server",
+    ("aborted", "link-lost"): "a long answer broke off with the link to its gate",
+    ("caller-gone", ""): "its caller went away",
+}
+"""What the last line of a request says, by outcome and reason."""
+
+FINAL = frozenset(
+    {"answered", "refused", "unknown", "aborted", "declined", "caller-gone"}
+)
+
+
+@attrs.define(kw_only=True)
+class Story:
+    """The lines about one request, in the order of time."""
+
+    request_id: str
+    lines: list[dict[str, Any]] = attrs.Factory(list)
+    unreadable: int = 0
+
+    @property
+    def final(self) -> dict[str, Any] | None:
+        """The line of the request's own final answer."""
+        own = [
+            line
+            for line in self.lines
+            if line["kind"] == "request"
+            and line["id"] == self.request_id
+            and line.get("outcome") in FINAL
+        ]
+        return own[-1] if own else None
+
+    def cause(self) -> str:
+        """Return one sentence on what became of the request."""
+        final = self.final
+        if final is None:
+            return "unknown: no line of its final answer; is the box's log missing?"
+        key = (final["outcome"], final.get("reason", ""))
+        if final["outcome"] == "answered":
+            return f"answered by a server with status {final.get('reason')}"
+        said = CAUSES.get(key, f"{key[0]}: {key[1]}")
+        return f"{said} (box {final['box']}, after {final.get('ms', '?')} ms)"
+
+
+def configure(parser: argparse.ArgumentParser) -> None:
+    """Declare the arguments."""
+    parser.add_argument("id", help="the request's id")
+    parser.add_argument(
+        "files", nargs="*", help="logs of daemons, in any order; none: standard input"
+    )
+
+
+def run(args: argparse.Namespace) -> outcomes.Outcome:
+    """Print the story of a request and its cause."""
+    story = Story(request_id=args.id)
+    for name in args.files:
+        read_into(story, files.read_bytes(name))
+    if not args.files:
+        read_into(story, sys.stdin.buffer.read())
+    if not story.lines:
+        return outcomes.BadInput(
+            text=f"no line about {args.id}: lines of plain outcomes are left out first",
+            data={"unreadable": story.unreadable},
+        )
+    story.lines.sort(key=lambda line: line["time"])
+    text = "\n".join([*map(told, story.lines), f"cause: {story.cause()}"])
+    data = {"cause": story.cause(), "lines": story.lines}
+    return outcomes.Done(text=text, data=data)
+
+
+def read_into(story: Story, raw: bytes) -> None:
+    """Add the lines of a log that are about the request, or calls made for it."""
+    for row in raw.splitlines():
+        start = row.find(b"{")
+        if start < 0:
+            continue
+        try:
+            line = msgspec.json.decode(row[start:])
+        except msgspec.DecodeError:
+            story.unreadable += 1
+            continue
+        if not isinstance(line, dict) or "time" not in line or "kind" not in line:
+            story.unreadable += 1
+            continue
+        named = str(line.get("id", ""))
+        if named == story.request_id or named.startswith(story.request_id + "."):
+            story.lines.append(line)
+
+
+def told(line: dict[str, Any]) -> str:
+    """Return one line of the story."""
+    rest = {
+        name: value
+        for name, value in line.items()
+        if name not in ("time", "level", "kind", "box", "outcome", "incarnation")
+    }
+    inputs = " ".join(f"{name}={value}" for name, value in rest.items())
+    outcome = line.get("outcome", "")
+    return f"{line['time']} {line.get('box', '?')} {line['kind']} {outcome}: {inputs}"
--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -14,6 +14,11 @@
 """What a server that fails or refuses all requests adds to its load."""
 COLD_PENALTY = 0.3
 """What a server adds that is still slow after its start."""
+PACE_PENALTY = 0.3
+"""What a server adds that takes twice as long as the fastest one: some servers are
+three times as fast as others, and at low load nothing else tells them apart."""
+PACE_MOST = 0.6
+"""The most that a slow server adds: as much as another zone."""
 FAILED_WEIGHT = 0.1
 """Weight of the newest request in the running share of failed ones."""
 OUTLIER_SHARE = 0.5
@@ -57,11 +62,13 @@
     peers: peers.Peers
     gate: gate.Gate
     own_failed: float = 0.0
+    _fastest_ms: int = 0
     _by_service: dict[str, list[peers.Peer]] = attrs.Factory(dict)
 
     def choose(self, now: float, service: str, tried: set[str]) -> Choice:
         """Return the gate for a request, not one of `tried`."""
         candidates = self._candidates(service)
+        self._fastest_ms = self._fastest(service, candidates)
         best: Choice = Nobody(known=len(candidates))
         best_score = float("inf")
         own = self.rt.identity
@@ -101,6 +108,7 @@
         score = self.gate.busy / self.gate.limit
         if now < self.gate.cold_until:
             score += COLD_PENALTY
+        score += self._pace_penalty(self.gate.pace_ms)
         return score + self._failed_penalty(self.own_failed) + self._jitter()
 
     def _score(self, now: float, peer: peers.Peer) -> float:
@@ -112,8 +120,21 @@
             score += SUSPECT_PENALTY
         if state.cold_s > 0:
             score += COLD_PENALTY
+        score += self._pace_penalty(peer.pace_ms)
         return score + self._failed_penalty(peer.failed) + self._jitter()
 
+    def _fastest(self, service: str, candidates: list[peers.Peer]) -> int:
+        """Return how long the fastest server holds a request, ms; 0 if not known."""
+        paces = [one.pace_ms for one in candidates if one.open and one.pace_ms]
+        if self.rt.identity.service == service and self.gate.pace_ms:
+            paces.append(self.gate.pace_ms)
+        return min(paces, default=0)
+
+    def _pace_penalty(self, pace_ms: int) -> float:
+        if not pace_ms or not self._fastest_ms:
+            return 0.0
+        return min(PACE_MOST, PACE_PENALTY * (pace_ms / self._fastest_ms - 1.0))
+
     def _failed_penalty(self, failed: float) -> float:
         if failed < FAILED_WEIGHT or self.rt.rng.random() < FAILED_PROBE:
             return 0.0
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -28,8 +28,9 @@
 STAY_S = 3.0
 """From a signal to stop until the process may end, seconds: the same checks, and
 requests that were sent before the second one."""
-END_MARGIN_S = 0.5
-"""Time before the end of the grace at which the process ends at the latest."""
+END_MARGIN_S = 0.9
+"""Time before the end of the grace at which the process begins to end at the latest,
+seconds: the loop and the interpreter take up to half a second to end."""
 LEAVE_TICK_S = 0.1
 SETTLE_S = 0.7
 """How long a daemon that starts looks for other daemons before it calls itself
@@ -240,8 +241,9 @@
                 self.origin.refused(now, peer, message)
             case messages.Broken():
                 self.origin.broken(now, peer, message)
-            case messages.Pong(version=version, busy=busy):
+            case messages.Pong(version=version, busy=busy, pace_ms=pace_ms):
                 peer.told(now, busy)
+                peer.pace_ms = pace_ms
                 self._heard_version(now, peer, version)
             case messages.GateState():
                 self.peers.gate_told(now, peer, message)
@@ -302,7 +304,11 @@
         self._ask_back(now, link, hello.version)
 
     def _pinged(self, now: float, link: int, version: int) -> None:
-        pong = messages.Pong(version=self.rt.version, busy=self.gate.busy)
+        pong = messages.Pong(
+            version=self.rt.version,
+            busy=self.gate.busy,
+            pace_ms=self.gate.pace_ms,
+        )
         self._send_back(link, pong)
         self._ask_back(now, link, version)
 
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -34,6 +34,8 @@
 """Requests at a server at once while its slots are not known."""
 HOLD_START_S = 0.1
 """What a request is taken to hold a slot for until one has ended, seconds."""
+HELD_LEAST = 20
+"""Requests that a server has held before others are told how long it takes."""
 HOLD_WEIGHT = 0.05
 """Weight of the newest holding time in the running mean."""
 PROBE_RETRY_S = 0.5
@@ -115,6 +117,7 @@
     _probing: bool = False
     _queue_timer: bool = False
     _answered_at: float = 0.0
+    _held: int = 0
     _beat_at: float = 0.0
 
     @property
@@ -122,6 +125,11 @@
         """Requests at the server and waiting for it."""
         return len(self.running) + len(self.waiting)
 
+    @property
+    def pace_ms(self) -> int:
+        """How long the server holds a request, running mean; 0 while not known."""
+        return int(1000 * self.hold_s) if self._held >= HELD_LEAST else 0
+
     @property
     def limit(self) -> int:
         """Requests at the server at once."""
@@ -270,6 +278,7 @@
             more=event.more,
             total=event.total,
             busy=self.busy,
+            pace_ms=self.pace_ms,
             level=self.level(now, job.forward),
         )
         self.reply(now, job, answer)
@@ -427,6 +436,7 @@
         self.running.pop(job.dispatch, None)
         self._forget(job)
         held = now - job.started
+        self._held += 1
         self.hold_s += HOLD_WEIGHT * (held - self.hold_s)
 
     def _forget(self, job: Job) -> None:
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -105,6 +105,8 @@
 
     version: int
     busy: int
+    pace_ms: int
+    """How long the server holds a request, running mean; 0 while not known."""
 
 
 class PolicyAsk(Message, tag=6):
@@ -171,6 +173,7 @@
     """Length of the body, bytes; -1 where the server did not tell."""
     busy: int
     """Requests at the server and in the gate's queue."""
+    pace_ms: int
     level: float
 
 
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -166,6 +166,8 @@
         if call is None:
             return
         self._told(now, peer, message)
+        if peer is not None:
+            peer.pace_ms = message.pace_ms
         failed = message.status >= 500
         self.chooser.ended(peer, failed)
         outlier = failed and self.chooser.outlier(peer, call.service)
--- a/ferrydeck/mesh/peers.py
+++ b/ferrydeck/mesh/peers.py
@@ -72,6 +72,8 @@
     told_busy: int = 0
     """Requests there, as last told, less those sent from here."""
     told_at: float = -1e9
+    pace_ms: int = 0
+    """How long its server holds a request, as last told; 0 while not known."""
     failed: float = 0.0
     """Recent share of requests that its server failed or refused."""
     version: int = 0
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -425,3 +425,14 @@
     world.kill(box, 0.5)
     world.run(2.5)
     assert box.core.rt.version == 4
+
+
+def test_a_faster_server_gets_more_while_all_are_free():
+    world = samples.world_of(3, slots=40)
+    world.boxes["box-0"].server.work_s = 0.12
+    world.boxes["box-2"].server.work_s = 0.03
+    asked = load(world, "box-1", 400, every_s=0.02)
+    world.run(1)
+    assert told_all(asked) == [200] * 400
+    last = [one.box for one in world.runs[200:]]
+    assert last.count("box-2") > 4 * last.count("box-0")
