--- /dev/null
+++ b/ferrydeck/replay/mesh_faults.py
@@ -0,0 +1,291 @@
+"""Random schedules of faults for a world of daemons, and what must hold in them."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from ferrydeck.mesh import policy
+from ferrydeck.replay import mesh_world
+
+HOST = "calls.example"
+DRAIN_S = 2.0
+GONE_S = 0.5
+STEP_S = 0.02
+CALM_S = 8.0
+"""Time without faults at the end, after which all must be served again, seconds."""
+
+
+@attrs.define(kw_only=True)
+class Played:
+    """A schedule that was played: what broke, and how much was served."""
+
+    seed: int
+    faults: list[str]
+    asked: int
+    served: int
+    recovered: float
+    """Share served of what was asked in the last two seconds."""
+    schedule: list[str]
+
+
+def policy_of(version: int) -> policy.Policy:
+    """Return a policy with a lookup and a posting at one service."""
+    common = {"host": HOST, "timeout_s": 2.0, "target_s": 1.0, "attempts": 2}
+    parts = (policy.Part(service="desk", weight=1.0),)
+    look = policy.Route(
+        name="look",
+        prefix="/look/",
+        kind=policy.Kind.SAFE,
+        priority=2,
+        parts=parts,
+        **common,
+    )
+    pay = policy.Route(
+        name="pay",
+        prefix="/pay/",
+        kind=policy.Kind.ONCE,
+        priority=0,
+        parts=parts,
+        **common,
+    )
+    service = policy.Service(name="desk", health_path="/healthz", max_connections=100)
+    return policy.Policy(
+        version=version, routes=(look, pay), services={"desk": service}, raw=b"given"
+    )
+
+
+@attrs.define(kw_only=True)
+class Schedule:
+    """Draws faults one after the other and lets them end."""
+
+    world: mesh_world.World
+    rng: random.Random
+    done: list[str] = attrs.Factory(list)
+    leaving: dict[str, float] = attrs.Factory(dict)
+    """Lifetimes that leave, with the time of the acknowledgement."""
+    _version: int = 4
+
+    def strike(self) -> None:
+        """Begin a fault that was drawn."""
+        kinds = [
+            self._kill,
+            self._freeze,
+            self._cut_zone,
+            self._cut_box,
+            self._store_down,
+            self._store_cut,
+            self._new_policy,
+            self._drain,
+            self._replace,
+            self._lose_answers,
+            self._shed,
+            self._fail,
+            self._stop,
+        ]
+        kind = self.rng.choice(kinds)
+        self.done.append(f"{self.world.now:.2f} {kind.__name__[1:]}")
+        kind()
+
+    def calm(self) -> None:
+        """End all faults that do not end by themselves."""
+        world = self.world
+        world.store_up = True
+        world.cut = lambda one, other: False
+        world.store_cut = lambda box: False
+        for box in world.boxes.values():
+            box.server.loses_answers = False
+            box.server.sheds = False
+            box.server.fails = False
+
+    def _box(self) -> mesh_world.Box | None:
+        up = [box for box in self.world.boxes.values() if box.up]
+        return self.rng.choice(up) if len(up) > 2 else None
+
+    def _kill(self) -> None:
+        if (box := self._box()) is not None:
+            self.world.kill(box, self.rng.uniform(0.1, 2.0))
+
+    def _stop(self) -> None:
+        box = self._box()
+        if box is None or box.core.rt.stopping:
+            return
+        self.world.stop(box)
+        life = box.life
+        self.world.after(6.5, lambda: self._start_again(box, life))
+
+    def _start_again(self, box: mesh_world.Box, life: int) -> None:
+        if box.life == life and not box.up:
+            self.world.kill(box, 0.1)
+
+    def _freeze(self) -> None:
+        if (box := self._box()) is not None:
+            box.frozen_until = self.world.now + self.rng.uniform(0.2, 4.0)
+
+    def _cut_zone(self) -> None:
+        zone = self.rng.choice([box.zone for box in self.world.boxes.values()])
+        one_way = self.rng.random() < 0.3
+
+        def cut(one: mesh_world.Box, other: mesh_world.Box) -> bool:
+            if one_way:
+                return one.zone == zone != other.zone
+            return (one.zone == zone) != (other.zone == zone)
+
+        self._cut(cut)
+
+    def _cut_box(self) -> None:
+        if (box := self._box()) is not None:
+            self._cut(lambda one, other: box in (one, other))
+
+    def _cut(self, cut: object) -> None:
+        self.world.cut = cut
+        self.world.after(self.rng.uniform(0.5, 5.0), self._mend)
+
+    def _mend(self) -> None:
+        self.world.cut = lambda one, other: False
+
+    def _store_down(self) -> None:
+        self.world.store_up = False
+        self.world.after(self.rng.uniform(0.5, 5.0), self._store_back)
+
+    def _store_back(self) -> None:
+        self.world.store_up = True
+
+    def _store_cut(self) -> None:
+        box = self._box()
+        self.world.store_cut = lambda one: one is box
+
+    def _new_policy(self) -> None:
+        self._version += self.rng.randint(1, 3)
+        self.world.use(policy_of(self._version))
+
+    def _drain(self) -> None:
+        staying = [box for box in self.world.boxes.values() if not box.server.leaving]
+        if len(staying) < 3:
+            return
+        box = self.rng.choice(staying)
+        if not box.up:
+            return
+        instance = box.server.instance
+
+        def acked(taken: bool) -> None:
+            if taken:
+                self.leaving.setdefault(instance, self.world.now)
+
+        by_leave = self.rng.random() < 0.3
+        box.server.leaving = True
+        self.world.report(box, ready=False, gone=by_leave, answered=acked)
+        self.world.after(4.0, lambda: self.world.replace_server(box))
+
+    def _replace(self) -> None:
+        if (box := self._box()) is not None and not box.server.leaving:
+            self.world.replace_server(box)
+
+    def _lose_answers(self) -> None:
+        self._server_fault("loses_answers")
+
+    def _shed(self) -> None:
+        self._server_fault("sheds")
+
+    def _fail(self) -> None:
+        self._server_fault("fails")
+
+    def _server_fault(self, name: str) -> None:
+        box = self._box()
+        if box is None:
+            return
+        server = box.server
+        setattr(server, name, True)
+        self.world.after(
+            self.rng.uniform(0.5, 3.0), lambda: setattr(server, name, False)
+        )
+
+
+def play(seed: int, *, boxes: int = 6, seconds: float = 20.0) -> Played:
+    """Play a schedule drawn from a seed and check what callers and servers saw."""
+    rng = random.Random(seed)
+    world = mesh_world.World(seed=seed)
+    world.use(policy_of(4))
+    for index in range(boxes):
+        world.add_box(f"box-{index}", f"hall-{index % 3}", "desk", slots=12)
+    world.run(2.0)
+    schedule = Schedule(world=world, rng=rng)
+    next_at = world.now + 1.0
+    ends = world.now + seconds
+    while world.now < ends + CALM_S:
+        if next_at <= world.now < ends:
+            schedule.strike()
+            next_at = world.now + rng.uniform(0.2, 3.0)
+        if world.now >= ends and next_at != float("inf"):
+            schedule.calm()
+            next_at = float("inf")
+        _ask(world, rng)
+        world.run(STEP_S)
+    world.run(3.0)
+    return _judged(seed, world, schedule)
+
+
+def _ask(world: mesh_world.World, rng: random.Random) -> None:
+    for box in world.boxes.values():
+        if not box.up or rng.random() > 0.5:
+            continue
+        once = rng.random() < 0.3
+        asked = world.request(
+            box, host=HOST, path="/pay/1" if once else "/look/1", once=once
+        )
+        if rng.random() < 0.05:
+            world.after(rng.uniform(0.0, 0.1), lambda one=asked: _leave(world, one))
+
+
+def _leave(world: mesh_world.World, asked: mesh_world.Asked) -> None:
+    if asked.told is None and asked.gone_at is None:
+        world.leave_caller(asked)
+
+
+def _judged(seed: int, world: mesh_world.World, schedule: Schedule) -> Played:
+    found = mesh_world.faults(world)
+    found += _after_leaving(world, schedule)
+    found += _unanswered(world)
+    found += _over_budget(world)
+    all_asked = list(world.asked.values())
+    last_at = all_asked[-1].at
+    last = [one for one in all_asked if one.at > last_at - 2.0]
+    last = [one for one in last if one.gone_at is None]
+    return Played(
+        seed=seed,
+        faults=found,
+        asked=len(all_asked),
+        served=sum(served(one) for one in all_asked),
+        recovered=sum(map(served, last)) / len(last),
+        schedule=schedule.done,
+    )
+
+
+def served(asked: mesh_world.Asked) -> bool:
+    """Tell whether a caller got a whole answer."""
+    return asked.told is not None and asked.told.status == 200
+
+
+def _after_leaving(world: mesh_world.World, schedule: Schedule) -> list[str]:
+    return [
+        f"DRAIN {one.request_id} reaches {one.instance} at {one.at:.3f}"
+        for one in world.runs
+        if one.instance in schedule.leaving
+        and one.at > schedule.leaving[one.instance] + DRAIN_S
+    ]
+
+
+def _unanswered(world: mesh_world.World) -> list[str]:
+    """Return callers without a final answer though their daemon ran on."""
+    return [
+        f"UNANSWERED {one.request_id} at {one.box}"
+        for one in world.asked.values()
+        if one.told is None and one.gone_at is None
+    ]
+
+
+def _over_budget(world: mesh_world.World) -> list[str]:
+    repeats = len(world.runs) - len({one.request_id for one in world.runs})
+    allowed = 0.2 * len(world.asked) + 48
+    return [f"BUDGET {repeats} > {allowed:.0f}"] if repeats > allowed else []
