--- a/ferrydeck/mesh/budget.py
+++ b/ferrydeck/mesh/budget.py
@@ -2,16 +2,32 @@
 
 from __future__ import annotations
 
-import collections
+import enum
 
 import attrs
 
-SHARE_OF_RATIO = 0.25
-"""Part of the agreed ratio that is spent on own requests. Calls that a repeated run
-makes again count at the services that they go to: with chains of four services each
-level may add as much as the one above it."""
-SLACK_SHARE = 0.5
-"""Part of the agreed slack that all daemons together spend without requests."""
+RUN_SHARE = 0.25
+"""Part of the agreed ratio that is spent on requests that may have run. The calls
+that a repeated run makes again count at the services that they go to: with chains of
+four services each level may add as much as the one above it."""
+NOT_RUN_SHARE = 0.6
+"""Part of the agreed ratio that is spent on requests that a server did not run: these
+add nothing further down."""
+RUN_SLACK = 0.5
+NOT_RUN_SLACK = 0.25
+"""Parts of the agreed slack that all daemons together spend on each without requests:
+a box that is lost takes some requests of all others with it at once."""
+
+
+class Repeat(enum.Enum):
+    """Why a request is sent again."""
+
+    MAY_HAVE_RUN = "may-have-run"
+    NOT_RUN = "not-run"
+
+
+SHARES = {Repeat.MAY_HAVE_RUN: RUN_SHARE, Repeat.NOT_RUN: NOT_RUN_SHARE}
+SLACKS = {Repeat.MAY_HAVE_RUN: RUN_SLACK, Repeat.NOT_RUN: NOT_RUN_SLACK}
 
 
 @attrs.define(kw_only=True)
@@ -25,9 +41,8 @@
     window_s: float
     daemons: int = 1
     """How many daemons share the slack; never less than were ever seen."""
-    _tokens: dict[str, float] = attrs.Factory(dict)
-    _filled: dict[str, float] = attrs.Factory(dict)
-    spent: collections.Counter[str] = attrs.Factory(collections.Counter)
+    _tokens: dict[tuple[str, Repeat], float] = attrs.Factory(dict)
+    _filled: dict[tuple[str, Repeat], float] = attrs.Factory(dict)
 
     def see_daemons(self, count: int) -> None:
         """Note how many daemons there are; the share only shrinks."""
@@ -35,29 +50,29 @@
 
     def fresh(self, now: float, service: str) -> None:
         """Note a request that is sent for the first time."""
-        self._refill(now, service, self.ratio * SHARE_OF_RATIO)
+        for repeat, share in SHARES.items():
+            self._refill(now, (service, repeat), self.ratio * share)
 
-    def may_spend(self, now: float, service: str) -> bool:
+    def may_spend(self, now: float, service: str, repeat: Repeat) -> bool:
         """Take one repeat from the budget of a service, if there is one left."""
-        self._refill(now, service, 0.0)
-        if self._tokens[service] < 1.0:
+        key = (service, repeat)
+        self._refill(now, key, 0.0)
+        if self._tokens[key] < 1.0:
             return False
-        self._tokens[service] -= 1.0
-        self.spent[service] += 1
+        self._tokens[key] -= 1.0
         return True
 
-    @property
-    def _burst(self) -> float:
-        return max(1.0, self.slack * SLACK_SHARE / self.daemons)
+    def _burst(self, repeat: Repeat) -> float:
+        """Return the most repeats that this daemon holds ready."""
+        return max(1.0, self.slack * SLACKS[repeat] / self.daemons)
 
-    def _refill(self, now: float, service: str, tokens: float) -> None:
-        burst = self._burst
-        last = self._filled.get(service)
-        self._filled[service] = now
+    def _refill(self, now: float, key: tuple[str, Repeat], tokens: float) -> None:
+        burst = self._burst(key[1])
+        last = self._filled.get(key)
+        self._filled[key] = now
         if last is None:
-            self._tokens[service] = burst
+            self._tokens[key] = burst
             return
         drip = (now - last) * burst / (2 * self.window_s)
-        ceiling = 2 * burst
-        held = self._tokens[service]
-        self._tokens[service] = max(held, min(ceiling, held + drip + tokens))
+        held = self._tokens[key]
+        self._tokens[key] = max(held, min(burst, held + drip + tokens))
--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -65,20 +65,29 @@
     _fastest_ms: int = 0
     _by_service: dict[str, list[peers.Peer]] = attrs.Factory(dict)
 
-    def choose(self, now: float, service: str, tried: set[str]) -> Choice:
-        """Return the gate for a request, not one of `tried`."""
+    def choose(
+        self,
+        now: float,
+        service: str,
+        tried: set[str],
+        only: set[str] | None = None,
+    ) -> Choice:
+        """Return the gate for a request, not one of `tried`, and one of `only`."""
         candidates = self._candidates(service)
         self._fastest_ms = self._fastest(service, candidates)
         best: Choice = Nobody(known=len(candidates))
         best_score = float("inf")
         own = self.rt.identity
         mine = own.service == service and own.address not in tried
+        mine = mine and (only is None or own.address in only)
         if mine and self.gate.phase is messages.Phase.READY and not self.gate.stopping:
             best = Own(instance=self.gate.instance)
             best_score = self._own_score(now)
         for peer in candidates:
             if peer.address in tried or not peer.open:
                 continue
+            if only is not None and peer.address not in only:
+                continue
             score = self._score(now, peer)
             if score < best_score:
                 best_score = score
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -414,7 +414,7 @@
     def _start(self, now: float, job: Job) -> None:
         job.started = now
         self.wait_level.waited(now, now - job.arrived)
-        self.calls_each.ran(now, job.forward.route)
+        self.calls_each.began(now, job.forward.route)
         self.running[job.dispatch] = job
         forward = job.forward
         self.rt.emit(
@@ -434,6 +434,7 @@
     def _end(self, now: float, job: Job) -> None:
         """Take a request off the server's slots."""
         self.running.pop(job.dispatch, None)
+        self.calls_each.ended(now, job.forward.route)
         self._forget(job)
         held = now - job.started
         self._held += 1
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -23,7 +23,7 @@
 HIGHER_WAIT_SHARE = 0.5
 """Part of its time that a request of a higher rank waits for a slot at most: it is
 to be shed later than those below it, and other work may hang on it."""
-HOPS = 4
+HOPS = 5
 """Gates that one request is shown to at most, those that refuse it included."""
 PAUSE_S = 0.03
 """Pause before a request is tried again for which no gate was open, seconds."""
@@ -79,6 +79,8 @@
     give_up_at: float
     """Until when a gate is looked for before the caller is refused."""
     tried: set[str] = attrs.Factory(set)
+    servers: set[str] = attrs.Factory(set)
+    """Gates whose servers were asked: no more than the route's attempts."""
     hops: int = 0
     offered: int = 0
     """Servers that were asked, also those that said no."""
@@ -228,7 +230,10 @@
             self._elsewhere(now, call, message.reason, message.retry_after_s)
             return
         self.chooser.ended(peer, True)
+        call.servers.add(self._address(peer))
         if self._may_offer_again(now, call):
+            if len(call.servers) >= call.route.attempts:
+                call.tried = {self._address(peer)}
             self._try(now, call)
             return
         self._refuse(now, call, message.reason, message.retry_after_s)
@@ -309,7 +314,9 @@
         if call.deadline - now < LEAST_RETRY_S:
             self._no_time(now, call)
             return
-        choice = self.chooser.choose(now, call.service, call.tried)
+        full = len(call.servers) >= call.route.attempts
+        only = call.servers if full else None
+        choice = self.chooser.choose(now, call.service, call.tried, only)
         match choice:
             case choosing.Nobody(known=known):
                 self._nobody(now, call, known)
@@ -431,16 +438,26 @@
             return
         self._give_up(now, call, MAYBE_RUN_STATUS, reason)
 
+    def _address(self, peer: peers.Peer | None) -> str:
+        return self.rt.identity.address if peer is None else peer.address
+
     def _may_repeat(self, now: float, call: Call) -> bool:
         """Tell whether a request may run at another server, and pay for it."""
-        return call.route.repeatable and self._may_offer_again(now, call)
+        if not call.route.repeatable or call.offered >= call.route.attempts:
+            return False
+        return self._pays(now, call, budget.Repeat.MAY_HAVE_RUN)
 
     def _may_offer_again(self, now: float, call: Call) -> bool:
-        if call.offered >= call.route.attempts or call.hops >= HOPS:
-            return False
-        if call.deadline - now < LEAST_RETRY_S:
+        """Tell whether a request that a server did not run may be offered again.
+
+        Once as many servers were asked as the route allows, it goes to these again.
+        """
+        return self._pays(now, call, budget.Repeat.NOT_RUN)
+
+    def _pays(self, now: float, call: Call, repeat: budget.Repeat) -> bool:
+        if call.hops >= HOPS or call.deadline - now < LEAST_RETRY_S:
             return False
-        if not self.budget.may_spend(now, call.service):
+        if not self.budget.may_spend(now, call.service, repeat):
             self._note(call, "not-repeated", messages.Reason.BUDGET)
             return False
         self._note(call, "repeated", "")
--- a/ferrydeck/mesh/pressure.py
+++ b/ferrydeck/mesh/pressure.py
@@ -79,6 +79,7 @@
             self.share = min(SHARE_MOST, self.share + STEP * failed_share)
         else:
             self.share *= DECAY
+        self.share *= DECAY ** ((now - self.window_ends) / WINDOW_S)
         self.answered = 0
         self.failed = 0.0
         self.window_ends = now + WINDOW_S
--- a/ferrydeck/replay/mesh_world.py
+++ b/ferrydeck/replay/mesh_world.py
@@ -70,6 +70,7 @@
     leaving: bool = False
     loses_answers: bool = False
     sheds: bool = False
+    sheds_share: float = 0.0
     fails: bool = False
     at_work: dict[int, simpy.Event] = attrs.Factory(dict)
 
@@ -440,6 +441,7 @@
             and effect.instance == server.instance
             and len(server.at_work) < server.slots
             and not server.sheds
+            and self.rng.random() >= server.sheds_share
         )
         self.runs.append(
             Run(
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -5,8 +5,9 @@
 
 def spend_all(shared: budget.RetryBudget, now: float) -> int:
     count = 0
-    while shared.may_spend(now, "desk"):
-        count += 1
+    for repeat in budget.Repeat:
+        while shared.may_spend(now, "desk", repeat):
+            count += 1
     return count
 
 
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -232,7 +232,7 @@
 
 
 def test_requests_at_a_frozen_box_are_asked_of_another():
-    world = samples.world_of(3, work_s=0.3)
+    world = samples.world_of(3, work_s=0.3, slots=16)
     frozen = world.boxes["box-1"]
     asked = load(world, "box-0", 20, every_s=0.01)
     frozen.frozen_until = world.now + 4
@@ -436,3 +436,19 @@
     assert told_all(asked) == [200] * 400
     last = [one.box for one in world.runs[200:]]
     assert last.count("box-2") > 4 * last.count("box-0")
+
+
+def test_servers_that_shed_half_are_asked_again_but_no_more_servers_than_allowed():
+    world = samples.world_of(4, slots=30)
+    for box in world.boxes.values():
+        box.server.sheds_share = 0.55
+    asked = load(world, "box-0", 600, every_s=0.01)
+    world.run(2)
+    served = told_all(asked).count(200)
+    # Without further offers it would be 0.45, with one for each 0.70.
+    assert served > 0.5 * len(asked)
+    arrived: dict[str, set[str]] = {}
+    for one in world.runs:
+        arrived.setdefault(one.request_id, set()).add(one.box)
+    assert max(len(boxes) for boxes in arrived.values()) == 2
+    assert len(world.runs) - len(arrived) <= 0.2 * len(asked) + 48
--- a/tests/mesh/test_pressure.py
+++ b/tests/mesh/test_pressure.py
@@ -35,3 +35,11 @@
     for step in range(100, 600):
         control.ended(step * 0.02, 0.0)
     assert turned_away(control, 12.0) == 0
+
+
+def test_a_quiet_time_counts_as_good_windows():
+    control = pressure.RoutePressure()
+    for step in range(100):
+        control.ended(step * 0.02, 1.0)
+    assert turned_away(control, 2.0) > 50
+    assert turned_away(control, 10.0) == 0
