--- /dev/null
+++ b/ferrydeck/mesh/calls.py
@@ -0,0 +1,42 @@
+"""A request that began on this box, as its origin follows it to its final answer."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import events, peers, policy
+
+
+@attrs.define(kw_only=True, eq=False)
+class Call:
+    """A request that began on this box and has no final answer yet."""
+
+    number: int
+    conn: int
+    route: policy.Route
+    service: str
+    request: events.RequestTaken
+    started: float
+    deadline: float
+    give_up_at: float
+    """Until when a gate is looked for before the caller is refused."""
+    tried: set[str] = attrs.Factory(set)
+    servers: set[str] = attrs.Factory(set)
+    """Gates whose servers were asked: no more than the route's attempts."""
+    hops: int = 0
+    offered: int = 0
+    """Servers that were asked, also those that said no."""
+    attempt: int = 0
+    """Number of the attempt that is out; 0 for none."""
+    peer: peers.Peer | None = None
+    """Where the attempt is; `None` for this box's own gate."""
+    may_have_run: bool = False
+    streaming: bool = False
+    policy_version: int = 0
+    lowest: bool = False
+    """Whether its rank is the one that is shed first."""
+
+    @property
+    def request_id(self) -> str:
+        """The id that the caller gave."""
+        return self.request.request_id
--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -80,8 +80,12 @@
         own = self.rt.identity
         mine = own.service == service and own.address not in tried
         mine = mine and (only is None or own.address in only)
-        if mine and self.gate.phase is messages.Phase.READY and not self.gate.stopping:
-            best = Own(instance=self.gate.instance)
+        if (
+            mine
+            and self.gate.server.phase is messages.Phase.READY
+            and not self.gate.stopping
+        ):
+            best = Own(instance=self.gate.server.instance)
             best_score = self._own_score(now)
         for peer in candidates:
             if peer.address in tried or not peer.open:
@@ -115,7 +119,7 @@
 
     def _own_score(self, now: float) -> float:
         score = self.gate.busy / self.gate.limit
-        if now < self.gate.cold_until:
+        if now < self.gate.server.cold_until:
             score += COLD_PENALTY
         score += self._pace_penalty(self.gate.pace_ms)
         return score + self._failed_penalty(self.own_failed) + self._jitter()
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -19,6 +19,7 @@
     policy,
     registry,
     runtime,
+    servers,
     store,
 )
 
@@ -182,7 +183,7 @@
                 self.links.pop(link, None)
                 self.gate.link_down(now, link)
             case events.ProbeAnswered():
-                self.gate.probed(now, event)
+                self.gate.server.probed(now, event)
             case events.Beat():
                 self._on_beat(now, event)
             case events.StoreAnswered(request=request, result=result):
@@ -204,8 +205,8 @@
                 self.origin.look_for_silent(now)
             case gate.QueueTimer():
                 self.gate.look(now)
-            case gate.ProbeTimer():
-                self.gate.probe(now)
+            case servers.ProbeTimer():
+                self.gate.server.probe(now)
             case peers.PeersTimer():
                 self._tick_peers(now)
             case registry.AskTimer(request=request):
@@ -292,7 +293,7 @@
         peer_link.delay_s(now, hello.sent_s)
         self.links[link] = peer_link
         self.peers.greet(now, hello.address)
-        self.gate.mark_left(now, hello.left)
+        self.gate.server.mark_left(now, hello.left)
         welcome = messages.Welcome(
             box=self.identity.box,
             incarnation=self.identity.incarnation,
@@ -350,7 +351,7 @@
             )
         )
         self._announce(now)
-        self.gate.probe(now)
+        self.gate.server.probe(now)
 
     def _boxes_found(self, now: float, records: tuple[store.BoxRecord, ...]) -> None:
         self.peers.only(now, records)
@@ -384,7 +385,7 @@
         ip = beat.address.rpartition(":")[0]
         own = beat.address == self.identity.server_address
         if own or (beat.gone and self._may_be_own(beat.instance)):
-            taken = self.gate.beat(now, beat)
+            taken = self.gate.server.beat(now, beat)
             self.rt.emit(effects.AnswerBeat(conn=beat.conn, taken=taken))
             return
         peer = self.peers.at_ip(ip) if ip else self._peer_of(beat.instance)
@@ -410,8 +411,8 @@
 
     def _may_be_own(self, instance: str) -> bool:
         """Tell whether a report without address can be about this box's server."""
-        gate = self.gate
-        return instance == gate.instance or instance in gate.left or not gate.instance
+        server = self.gate.server
+        return not server.instance or instance in {server.instance, *server.left}
 
     def _peer_of(self, instance: str) -> peers.Peer | None:
         """Return the daemon beside a lifetime of a server."""
@@ -432,7 +433,7 @@
             gone=relay.gone,
             cold_s=relay.cold_s,
         )
-        taken = self.gate.beat(now, beat)
+        taken = self.gate.server.beat(now, beat)
         self._send_back(link, messages.BeatRelayed(number=relay.number, taken=taken))
 
     def _relayed(self, number: int, taken: bool) -> None:
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -17,10 +17,10 @@
     effects,
     events,
     messages,
-    policy,
     pressure,
     queueing,
     runtime,
+    servers,
 )
 
 QUEUE_TICK_S = 0.02
@@ -38,8 +38,6 @@
 """Requests that a server has held before others are told how long it takes."""
 HOLD_WEIGHT = 0.05
 """Weight of the newest holding time in the running mean."""
-PROBE_RETRY_S = 0.5
-"""Pause before a server that failed its health check is asked again, seconds."""
 QUEUE_MOST = 4
 """Requests that wait at most, as a multiple of the slots."""
 RETRY_AFTER_LEAST_S = 0.05
@@ -62,11 +60,6 @@
     """Time to look at the requests that wait."""
 
 
-@attrs.define(kw_only=True, frozen=True)
-class ProbeTimer:
-    """Time to ask the server whether it is well."""
-
-
 @attrs.define(kw_only=True, eq=False)
 class Job:
     """A request at the gate."""
@@ -95,10 +88,7 @@
     rt: runtime.Runtime
     reply: Callable[[float, Job, messages.Any], None]
     announce: Callable[[float], None]
-    phase: messages.Phase = messages.Phase.UNKNOWN
-    instance: str = ""
-    slots: int = 0
-    cold_until: float = 0.0
+    server: servers.ServerWatch = attrs.field(init=False)
     stopping: bool = False
     running: dict[int, Job] = attrs.Factory(dict)
     waiting: queueing.RankQueue[Job] = attrs.Factory(queueing.RankQueue)
@@ -109,16 +99,14 @@
     downstream: callgraph.Downstream = attrs.Factory(callgraph.Downstream)
     by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
     hold_s: float = HOLD_START_S
-    left: set[str] = attrs.Factory(set)
-    """Lifetimes of the server that have said that they leave."""
-    _sequences: dict[str, int] = attrs.Factory(dict)
-    _ready_said: str = ""
-    """The lifetime whose last report said that it is ready."""
-    _probing: bool = False
     _queue_timer: bool = False
     _answered_at: float = 0.0
     _held: int = 0
-    _beat_at: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.server = servers.ServerWatch(
+            rt=self.rt, opened=self.announce, closed=self._server_closed
+        )
 
     @property
     def busy(self) -> int:
@@ -133,74 +121,24 @@
     @property
     def limit(self) -> int:
         """Requests at the server at once."""
-        return max(1, int(FULL_SHARE * self.slots)) if self.slots else UNKNOWN_SLOTS
+        return (
+            max(1, int(FULL_SHARE * self.server.slots))
+            if self.server.slots
+            else UNKNOWN_SLOTS
+        )
 
     def state(self, now: float) -> messages.GateState:
         """Return how the gate stands, to be told to the other daemons."""
-        phase = messages.Phase.STOPPING if self.stopping else self.phase
+        phase = messages.Phase.STOPPING if self.stopping else self.server.phase
         return messages.GateState(
             phase=phase,
-            instance=self.instance,
+            instance=self.server.instance,
             service=self.rt.identity.service,
             slots=self.limit,
-            cold_s=max(0.0, self.cold_until - now),
+            cold_s=max(0.0, self.server.cold_until - now),
             version=self.rt.version,
         )
 
-    def probe(self, now: float) -> None:
-        """Ask the server whether it is well, unless it was asked already."""
-        service = self._service()
-        if service is None or self._probing or self.phase is messages.Phase.READY:
-            return
-        self._probing = True
-        self.rt.emit(effects.Probe(path=service.health_path))
-
-    def probed(self, now: float, event: events.ProbeAnswered) -> None:
-        """Open for a server that is well, not leaving, and whose lifetime is known."""
-        self._probing = False
-        usable = event.well and event.instance and event.instance not in self.left
-        if not usable:
-            if self.phase is messages.Phase.UNKNOWN:
-                self.rt.at(now + PROBE_RETRY_S, ProbeTimer())
-            return
-        self.slots = event.slots or self.slots
-        self._open(now, event.instance, "probe")
-
-    def beat(self, now: float, beat: events.Beat) -> bool:
-        """Take a report of the server; tell whether it may be acknowledged."""
-        last = self._sequences.get(beat.instance, -1)
-        if beat.sequence <= last and not beat.gone:
-            return True
-        self._sequences[beat.instance] = max(last, beat.sequence)
-        if beat.gone or not beat.ready:
-            self._leave(now, beat.instance, "gone" if beat.gone else "draining")
-            return True
-        if beat.instance in self.left:
-            return True
-        other = self.instance and beat.instance != self.instance
-        if other and self.phase is messages.Phase.READY and last >= 0:
-            # An old lifetime's late word after the new one's.
-            return True
-        self._beat_at = now
-        self.slots = beat.slots or self.slots
-        self.cold_until = max(self.cold_until, now + beat.cold_s)
-        self._ready_said = beat.instance
-        if self.phase is messages.Phase.READY and self.instance == beat.instance:
-            return True
-        if self.phase is messages.Phase.UNKNOWN:
-            # The word may be older than a leaving that an earlier process of
-            # this daemon acknowledged: only the server knows.
-            self.probe(now)
-            return True
-        self._open(now, beat.instance, "report")
-        return True
-
-    def mark_left(self, now: float, instances: list[str]) -> None:
-        """Take the word of another daemon that lifetimes of the server have left."""
-        for instance in instances:
-            if instance not in self.left:
-                self._leave(now, instance, "told by a peer")
-
     def stop(self, now: float) -> None:
         """Take no new work, since the daemon is stopping."""
         self.stopping = True
@@ -302,7 +240,7 @@
         """Tell that no whole answer will come."""
         job = self.running.get(event.dispatch)
         if event.refused:
-            self._down(now, event.detail)
+            self.server.down(now, event.detail)
         if job is None:
             return
         if not event.sent:
@@ -355,11 +293,11 @@
         forward = job.forward
         if job.deadline - now < LEAST_LEFT_S:
             return messages.Reason.EXPIRED
-        if self.stopping or self.phase is not messages.Phase.READY:
+        if self.stopping or self.server.phase is not messages.Phase.READY:
             return messages.Reason.CLOSED
         if forward.service != self.rt.identity.service:
             return messages.Reason.INSTANCE
-        if forward.instance != self.instance:
+        if forward.instance != self.server.instance:
             return messages.Reason.INSTANCE
         if self._stalled(now):
             return messages.Reason.CLOSED
@@ -371,12 +309,12 @@
     def _stalled(self, now: float) -> bool:
         """Tell whether the server has fallen silent."""
         quiet = now - self._answered_at > STALL_S
-        if not quiet or not self.running or not self._beat_at:
+        if not quiet or not self.running or not self.server.heard_at:
             return False
         oldest = min(job.started for job in self.running.values())
         silent_s = now - max(oldest, self._answered_at)
         beats = 2 * self.rt.terms.beat_s
-        return silent_s > STALL_S and now - self._beat_at > beats
+        return silent_s > STALL_S and now - self.server.heard_at > beats
 
     def _wait(self, now: float, job: Job) -> None:
         """Have a request wait, or refuse what is least urgent."""
@@ -460,20 +398,11 @@
 
     def _server_refused(self, now: float, job: Job, facts: events.AnswerFacts) -> None:
         self._end(now, job)
-        if facts.instance and facts.instance != self.instance:
-            self._other_instance(now, facts.instance)
+        if facts.instance and facts.instance != self.server.instance:
+            self.server.replaced(now, facts.instance)
         self._refuse(now, job, messages.Reason.SERVER_REFUSED, offered=True)
         self._next(now)
 
-    def _other_instance(self, now: float, instance: str) -> None:
-        """Close until the lifetime that answers now has reported or is well."""
-        self.rt.note("server-changed", instance=instance, expected=self.instance)
-        self.phase = messages.Phase.UNKNOWN
-        self.instance = ""
-        self.announce(now)
-        self._refuse_waiting(now, messages.Reason.INSTANCE)
-        self.probe(now)
-
     def _refuse(
         self,
         now: float,
@@ -502,44 +431,16 @@
         spread = 0.75 + 0.5 * self.rt.rng.random()
         return min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, clear_s * spread))
 
+    def _server_closed(self, now: float, reason: messages.Reason) -> None:
+        """Tell the other daemons, and refuse what waits for the server."""
+        self.announce(now)
+        self._refuse_waiting(now, reason)
+
     def _refuse_waiting(self, now: float, reason: messages.Reason) -> None:
         for job in self.waiting.clear():
             self._forget(job)
             self._refuse(now, job, reason)
 
-    def _open(self, now: float, instance: str, why: str) -> None:
-        self.phase = messages.Phase.READY
-        self.instance = instance
-        self._beat_at = now
-        self.rt.note("server-ready", instance=instance, reason=why, slots=self.limit)
-        self.announce(now)
-
-    def _leave(self, now: float, instance: str, why: str) -> None:
-        """Close for a lifetime of the server that leaves, for good."""
-        if instance in self.left:
-            return
-        self.left.add(instance)
-        self.rt.note("server-leaving", instance=instance, reason=why)
-        if self.instance in ("", instance):
-            self.instance = instance
-            self.phase = messages.Phase.LEAVING
-            self.announce(now)
-            self._refuse_waiting(now, messages.Reason.CLOSED)
-
-    def _down(self, now: float, detail: str) -> None:
-        """Close for a server that takes no connection, until it reports anew."""
-        if self.phase is not messages.Phase.READY:
-            return
-        self.rt.note("server-lost", instance=self.instance, reason=detail)
-        self.phase = messages.Phase.DOWN
-        self.announce(now)
-        self._refuse_waiting(now, messages.Reason.CLOSED)
-
-    def _service(self) -> policy.Service | None:
-        if self.rt.policy is None:
-            return None
-        return self.rt.policy.services.get(self.rt.identity.service)
-
     def _note(self, job: Job, outcome: str, reason: str) -> None:
         self.rt.note(
             "gate",
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -6,6 +6,7 @@
 
 from ferrydeck.mesh import (
     budget,
+    calls,
     choosing,
     effects,
     events,
@@ -65,41 +66,6 @@
     """Time to look for requests at silent boxes."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class Call:
-    """A request that began on this box and has no final answer yet."""
-
-    number: int
-    conn: int
-    route: policy.Route
-    service: str
-    request: events.RequestTaken
-    started: float
-    deadline: float
-    give_up_at: float
-    """Until when a gate is looked for before the caller is refused."""
-    tried: set[str] = attrs.Factory(set)
-    servers: set[str] = attrs.Factory(set)
-    """Gates whose servers were asked: no more than the route's attempts."""
-    hops: int = 0
-    offered: int = 0
-    """Servers that were asked, also those that said no."""
-    attempt: int = 0
-    """Number of the attempt that is out; 0 for none."""
-    peer: peers.Peer | None = None
-    """Where the attempt is; `None` for this box's own gate."""
-    may_have_run: bool = False
-    streaming: bool = False
-    policy_version: int = 0
-    lowest: bool = False
-    """Whether its rank is the one that is shed first."""
-
-    @property
-    def request_id(self) -> str:
-        """The id that the caller gave."""
-        return self.request.request_id
-
-
 @attrs.define(kw_only=True)
 class Origin:
     """Carries the requests that begin on this box to gates and back."""
@@ -110,9 +76,9 @@
     gate: gate.Gate
     budget: budget.RetryBudget
     splits: splits.Splits = attrs.Factory(splits.Splits)
-    by_conn: dict[int, Call] = attrs.Factory(dict)
-    by_number: dict[int, Call] = attrs.Factory(dict)
-    by_attempt: dict[int, Call] = attrs.Factory(dict)
+    by_conn: dict[int, calls.Call] = attrs.Factory(dict)
+    by_number: dict[int, calls.Call] = attrs.Factory(dict)
+    by_attempt: dict[int, calls.Call] = attrs.Factory(dict)
     closed: bool = False
     """Whether no further request is taken, since the daemon is about to end."""
 
@@ -275,7 +241,7 @@
                 if call is not None and not call.streaming:
                     self._move(now, call)
 
-    def _move(self, now: float, call: Call) -> None:
+    def _move(self, now: float, call: calls.Call) -> None:
         if not call.route.repeatable or not self._may_repeat(now, call):
             return
         self._withdraw(now, call)
@@ -285,12 +251,12 @@
 
     def _call(
         self, now: float, request: events.RequestTaken, route: policy.Route
-    ) -> Call:
+    ) -> calls.Call:
         held_s = route.timeout_s
         if request.deadline_s is not None:
             held_s = min(held_s, request.deadline_s)
         service = self.splits.service(route, self.rt.rng.random())
-        return Call(
+        return calls.Call(
             number=self.rt.number(),
             conn=request.conn,
             route=route,
@@ -309,7 +275,7 @@
             return HIGHER_WAIT_SHARE * held_s
         return min(WAIT_SHARE * route.target_s, HIGHER_WAIT_SHARE * held_s)
 
-    def _try(self, now: float, call: Call) -> None:
+    def _try(self, now: float, call: calls.Call) -> None:
         """Send the request to a gate."""
         if call.deadline - now < LEAST_RETRY_S:
             self._no_time(now, call)
@@ -326,7 +292,7 @@
                 self._forward(now, call, peer, instance)
 
     def _forward(
-        self, now: float, call: Call, peer: peers.Peer | None, instance: str
+        self, now: float, call: calls.Call, peer: peers.Peer | None, instance: str
     ) -> None:
         number = self.rt.number()
         call.attempt = number
@@ -362,7 +328,7 @@
         peer.out[number] = now
         self.peers.send(now, peer, forward)
 
-    def _current(self, peer: peers.Peer | None, number: int) -> Call | None:
+    def _current(self, peer: peers.Peer | None, number: int) -> calls.Call | None:
         """Return the call that a word about an attempt belongs to."""
         call = self.by_attempt.get(number)
         if call is not None and call.peer is peer:
@@ -383,14 +349,14 @@
             self.gate.downstream.told(now, message.level)
             self.gate.calls_each.called(now)
 
-    def _end_attempt(self, call: Call) -> None:
+    def _end_attempt(self, call: calls.Call) -> None:
         self.by_attempt.pop(call.attempt, None)
         if call.peer is not None:
             call.peer.out.pop(call.attempt, None)
         call.attempt = 0
         call.peer = None
 
-    def _withdraw(self, now: float, call: Call) -> None:
+    def _withdraw(self, now: float, call: calls.Call) -> None:
         """Have the attempt that is out dropped, where there is one."""
         number, peer = call.attempt, call.peer
         if not number:
@@ -402,7 +368,7 @@
             self.peers.send(now, peer, messages.Cancel(number=number))
 
     def _elsewhere(
-        self, now: float, call: Call, reason: str, retry_after_s: float
+        self, now: float, call: calls.Call, reason: str, retry_after_s: float
     ) -> None:
         """Show a request that was not run to another gate, or refuse it."""
         final = reason == messages.Reason.PRESSURE
@@ -411,7 +377,7 @@
             return
         self._refuse(now, call, reason, retry_after_s)
 
-    def _nobody(self, now: float, call: Call, known: int) -> None:
+    def _nobody(self, now: float, call: calls.Call, known: int) -> None:
         """Look again soon, as long as a refusal is still early."""
         if now + PAUSE_S < call.give_up_at and call.hops < HOPS:
             call.tried.clear()
@@ -419,13 +385,13 @@
             return
         self._refuse(now, call, messages.Reason.NO_SERVER, RETRY_AFTER_S)
 
-    def _no_time(self, now: float, call: Call) -> None:
+    def _no_time(self, now: float, call: calls.Call) -> None:
         if call.may_have_run:
             self._give_up(now, call, LATE_STATUS, messages.Reason.TIMEOUT)
             return
         self._refuse(now, call, messages.Reason.EXPIRED, RETRY_AFTER_S)
 
-    def _lost(self, now: float, call: Call, reason: str) -> None:
+    def _lost(self, now: float, call: calls.Call, reason: str) -> None:
         """Act on an attempt of which no answer will come."""
         self._end_attempt(call)
         call.may_have_run = True
@@ -441,20 +407,20 @@
     def _address(self, peer: peers.Peer | None) -> str:
         return self.rt.identity.address if peer is None else peer.address
 
-    def _may_repeat(self, now: float, call: Call) -> bool:
+    def _may_repeat(self, now: float, call: calls.Call) -> bool:
         """Tell whether a request may run at another server, and pay for it."""
         if not call.route.repeatable or call.offered >= call.route.attempts:
             return False
         return self._pays(now, call, budget.Repeat.MAY_HAVE_RUN)
 
-    def _may_offer_again(self, now: float, call: Call) -> bool:
+    def _may_offer_again(self, now: float, call: calls.Call) -> bool:
         """Tell whether a request that a server did not run may be offered again.
 
         Once as many servers were asked as the route allows, it goes to these again.
         """
         return self._pays(now, call, budget.Repeat.NOT_RUN)
 
-    def _pays(self, now: float, call: Call, repeat: budget.Repeat) -> bool:
+    def _pays(self, now: float, call: calls.Call, repeat: budget.Repeat) -> bool:
         if call.hops >= HOPS or call.deadline - now < LEAST_RETRY_S:
             return False
         if not self.budget.may_spend(now, call.service, repeat):
@@ -464,7 +430,7 @@
         return True
 
     def _refuse(
-        self, now: float, call: Call, reason: str, retry_after_s: float
+        self, now: float, call: calls.Call, reason: str, retry_after_s: float
     ) -> None:
         """Tell a caller that its request was not run, and when to come back."""
         if call.may_have_run:
@@ -480,7 +446,7 @@
         )
         self._finish(now, call, "refused", reason)
 
-    def _give_up(self, now: float, call: Call, status: int, reason: str) -> None:
+    def _give_up(self, now: float, call: calls.Call, status: int, reason: str) -> None:
         """Tell a caller that nothing is known of its request's fate."""
         self.rt.emit(effects.Decline(conn=call.conn, status=status, reason=reason))
         self._finish(now, call, "unknown", reason)
@@ -510,7 +476,7 @@
             version=self.rt.version,
         )
 
-    def _finish(self, now: float, call: Call, outcome: str, reason: str) -> None:
+    def _finish(self, now: float, call: calls.Call, outcome: str, reason: str) -> None:
         self.by_conn.pop(call.conn, None)
         self.by_number.pop(call.number, None)
         self._note(call, outcome, reason, ms=round(1000 * (now - call.started), 1))
@@ -520,7 +486,9 @@
             )
         )
 
-    def _note(self, call: Call, outcome: str, reason: str, **more: object) -> None:
+    def _note(
+        self, call: calls.Call, outcome: str, reason: str, **more: object
+    ) -> None:
         self.rt.note(
             "request",
             request_id=call.request_id,
--- /dev/null
+++ b/ferrydeck/mesh/servers.py
@@ -0,0 +1,135 @@
+"""The server of this box as its gate knows it: its lifetime, and whether it leaves."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from ferrydeck.mesh import effects, events, messages, policy, runtime
+
+PROBE_RETRY_S = 0.5
+"""Pause before a server that failed its health check is asked again, seconds."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class ProbeTimer:
+    """Time to ask the server whether it is well."""
+
+
+@attrs.define(kw_only=True)
+class ServerWatch:
+    """Follows a server by its reports, health checks and answers.
+
+    A lifetime that has said that it leaves is never opened again. A daemon that
+    starts knows nothing of what an earlier process acknowledged, so it opens only
+    after the server's own health check.
+    """
+
+    rt: runtime.Runtime
+    opened: Callable[[float], None]
+    """Called when new work may be sent to the server."""
+    closed: Callable[[float, messages.Reason], None]
+    """Called when no new work may be sent, with the reason."""
+    phase: messages.Phase = messages.Phase.UNKNOWN
+    instance: str = ""
+    slots: int = 0
+    cold_until: float = 0.0
+    heard_at: float = 0.0
+    """When the server last reported that it is ready."""
+    left: set[str] = attrs.Factory(set)
+    """Lifetimes of the server that have said that they leave."""
+    _sequences: dict[str, int] = attrs.Factory(dict)
+    _probing: bool = False
+
+    def probe(self, now: float) -> None:
+        """Ask the server whether it is well, unless it was asked already."""
+        service = self._service()
+        if service is None or self._probing or self.phase is messages.Phase.READY:
+            return
+        self._probing = True
+        self.rt.emit(effects.Probe(path=service.health_path))
+
+    def probed(self, now: float, event: events.ProbeAnswered) -> None:
+        """Open for a server that is well, not leaving, and whose lifetime is known."""
+        self._probing = False
+        usable = event.well and event.instance and event.instance not in self.left
+        if not usable:
+            if self.phase is messages.Phase.UNKNOWN:
+                self.rt.at(now + PROBE_RETRY_S, ProbeTimer())
+            return
+        self.slots = event.slots or self.slots
+        self._open(now, event.instance, "probe")
+
+    def beat(self, now: float, beat: events.Beat) -> bool:
+        """Take a report of the server; tell whether it may be acknowledged."""
+        last = self._sequences.get(beat.instance, -1)
+        if beat.sequence <= last and not beat.gone:
+            return True
+        self._sequences[beat.instance] = max(last, beat.sequence)
+        if beat.gone or not beat.ready:
+            self._leave(now, beat.instance, "gone" if beat.gone else "draining")
+            return True
+        if beat.instance in self.left:
+            return True
+        other = self.instance and beat.instance != self.instance
+        if other and self.phase is messages.Phase.READY and last >= 0:
+            # An old lifetime's late word after the new one's.
+            return True
+        self.heard_at = now
+        self.slots = beat.slots or self.slots
+        self.cold_until = max(self.cold_until, now + beat.cold_s)
+        if self.phase is messages.Phase.READY and self.instance == beat.instance:
+            return True
+        if self.phase is messages.Phase.UNKNOWN:
+            # The word may be older than a leaving that an earlier process of
+            # this daemon acknowledged: only the server knows.
+            self.probe(now)
+            return True
+        self._open(now, beat.instance, "report")
+        return True
+
+    def mark_left(self, now: float, instances: list[str]) -> None:
+        """Take the word of another daemon that lifetimes of the server have left."""
+        for instance in instances:
+            if instance not in self.left:
+                self._leave(now, instance, "told by a peer")
+
+    def replaced(self, now: float, instance: str) -> None:
+        """Close until the lifetime that answers now has reported or is well."""
+        self.rt.note("server-changed", instance=instance, expected=self.instance)
+        self.phase = messages.Phase.UNKNOWN
+        self.instance = ""
+        self.closed(now, messages.Reason.INSTANCE)
+        self.probe(now)
+
+    def down(self, now: float, detail: str) -> None:
+        """Close for a server that takes no connection, until it reports anew."""
+        if self.phase is not messages.Phase.READY:
+            return
+        self.rt.note("server-lost", instance=self.instance, reason=detail)
+        self.phase = messages.Phase.DOWN
+        self.closed(now, messages.Reason.CLOSED)
+
+    def _open(self, now: float, instance: str, why: str) -> None:
+        self.phase = messages.Phase.READY
+        self.instance = instance
+        self.heard_at = now
+        self.rt.note("server-ready", instance=instance, reason=why, slots=self.slots)
+        self.opened(now)
+
+    def _leave(self, now: float, instance: str, why: str) -> None:
+        """Close for a lifetime of the server that leaves, for good."""
+        if instance in self.left:
+            return
+        self.left.add(instance)
+        self.rt.note("server-leaving", instance=instance, reason=why)
+        if self.instance in ("", instance):
+            self.instance = instance
+            self.phase = messages.Phase.LEAVING
+            self.closed(now, messages.Reason.CLOSED)
+
+    def _service(self) -> policy.Service | None:
+        if self.rt.policy is None:
+            return None
+        return self.rt.policy.services.get(self.rt.identity.service)
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -115,7 +115,7 @@
     leaving.sequence = 0
     world.report(leaving, ready=True, gone=False, answered=lambda taken: None)
     world.run(0.1)
-    assert leaving.core.gate.phase != "ready"
+    assert leaving.core.gate.server.phase != "ready"
 
 
 def test_a_posting_whose_answer_is_lost_runs_once_and_is_not_called_refused():
@@ -274,7 +274,7 @@
     assert told_all(asked) == [200] * 60
     world.boxes["box-1"].server.up = True
     world.run(3)
-    assert world.boxes["box-1"].core.gate.phase == "ready"
+    assert world.boxes["box-1"].core.gate.server.phase == "ready"
 
 
 def test_a_planned_stop_cuts_nothing_and_is_over_in_time():
@@ -415,7 +415,7 @@
     leaving.sequence += 10
     world.report(leaving, ready=True, gone=False, answered=lambda taken: None)
     world.run(0.1)
-    assert leaving.core.gate.phase != "ready"
+    assert leaving.core.gate.server.phase != "ready"
 
 
 def test_a_daemon_without_policy_gets_it_on_a_link_that_the_other_one_dialled():
