Wait for both servers in the process tests

Ruled out: the daemons (their links and answers were as wanted). Change: the fleet is up when each daemon's gate has opened for its own server.

--- a/tests/platform/mesh_fleet.py
+++ b/tests/platform/mesh_fleet.py
@@ -83,6 +83,9 @@
         fields |= more.pop("fields", {})
         return fetch(self.address("calls"), method, path, fields=fields, **more)
 
+    def gate_opened(self) -> bool:
+        return any(one["kind"] == "server-ready" for one in self.lines())
+
     def ran(self) -> list[str]:
         answer = fetch(self.address("target"), "GET", "/standin/ran")
         return json.loads(answer.body)["ran"]
@@ -197,6 +200,7 @@
                 f"{box.name} is linked with all others",
             )
             fleet.eventually(box.ready, f"{box.name} is ready")
+            fleet.eventually(box.gate_opened, f"{box.name} knows its server")
             fleet.eventually(
                 lambda box=box: (
                     box.call("/look/first", f"first-{box.name}").status == 200
