--- a/tests/platform/mesh_fleet.py
+++ b/tests/platform/mesh_fleet.py
@@ -103,7 +103,8 @@
 
     def lines(self) -> list[dict[str, object]]:
         text = self.daemon.log.read_text()
-        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+        whole = [line for line in text.splitlines(keepends=True) if line[-1] == "\n"]
+        return [json.loads(line) for line in whole if line.startswith("{")]
 
 
 class MeshFleet:
