Put a test back to its first form

Cause: by reading the change once more. test_requests_at_a_frozen_box was given 16 slots while it was red with 503, before the cause was known (the share that is turned away did not fade while no request came). With that mended it passes as first written, so the larger world only loosened it. Measured: both tests of frozen boxes pass with the usual 8 slots.

--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -232,7 +232,7 @@
 
 
 def test_requests_at_a_frozen_box_are_asked_of_another():
-    world = samples.world_of(3, work_s=0.3, slots=16)
+    world = samples.world_of(3, work_s=0.3)
     frozen = world.boxes["box-1"]
     asked = load(world, "box-0", 20, every_s=0.01)
     frozen.frozen_until = world.now + 4
