Call the store by state: few watchers, stale reads, one cheap call in an outage

Every daemon watched all records, so each restart cost a call in each daemon, and an outage cost three retried calls a second in each. Change: the registry asks by state; no watch of records, stale reads every 5 s, a renewal every 2 s, four watchers of the policy a data centre; while the store is away one renewal at a time looks for it. A gate tells the share of requests that its server fails. A gate opens by two reports, and waits for a peer's word on left lifetimes. Idle links are pinged 15 times a second at most, a silent box has its zone asked. Ruled out: ending the lease at a stop (a call a restart, nobody needs it).

--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -19,8 +19,8 @@
 three times as fast as others, and at low load nothing else tells them apart."""
 PACE_MOST = 0.6
 """The most that a slow server adds: as much as another zone."""
-FAILED_WEIGHT = 0.1
-"""Weight of the newest request in the running share of failed ones."""
+FAILED_LEAST = 0.1
+"""Share of failed requests below which a server counts as well."""
 OUTLIER_SHARE = 0.5
 """A server is an outlier if another one fails less than this part as often."""
 FAILED_PROBE = 0.03
@@ -61,7 +61,6 @@
     rt: runtime.Runtime
     peers: peers.Peers
     gate: gate.Gate
-    own_failed: float = 0.0
     _fastest_ms: int = 0
     _by_service: dict[str, list[peers.Peer]] = attrs.Factory(dict)
 
@@ -98,23 +97,17 @@
                 best = Far(peer=peer, instance=peer.gate.instance)
         return best
 
-    def ended(self, peer: peers.Peer | None, failed: bool) -> None:
-        """Note how a request that reached a server ended."""
-        if peer is None:
-            self.own_failed += FAILED_WEIGHT * (failed - self.own_failed)
-        else:
-            peer.failed += FAILED_WEIGHT * (failed - peer.failed)
-
-    def outlier(self, peer: peers.Peer | None, service: str) -> bool:
+    def outlier(self, now: float, peer: peers.Peer | None, service: str) -> bool:
         """Tell whether a server that failed does so more often than another one.
 
         Where all fail alike the cause lies further down, and asking another server
         would only add to it.
         """
-        failed = self.own_failed if peer is None else peer.failed
-        others = [one.failed for one in self._candidates(service) if one.open]
+        own = self.gate.health.failed(now)
+        failed = own if peer is None else peer.failed(now)
+        others = [one.failed(now) for one in self._candidates(service) if one.open]
         if self.rt.identity.service == service:
-            others.append(self.own_failed)
+            others.append(own)
         return min(others, default=failed) < OUTLIER_SHARE * failed
 
     def _own_score(self, now: float) -> float:
@@ -122,7 +115,8 @@
         if now < self.gate.server.cold_until:
             score += COLD_PENALTY
         score += self._pace_penalty(self.gate.pace_ms)
-        return score + self._failed_penalty(self.own_failed) + self._jitter()
+        failed = self.gate.health.failed(now)
+        return score + self._failed_penalty(failed) + self._jitter()
 
     def _score(self, now: float, peer: peers.Peer) -> float:
         state = peer.gate
@@ -134,7 +128,7 @@
         if state.cold_s > 0:
             score += COLD_PENALTY
         score += self._pace_penalty(peer.pace_ms)
-        return score + self._failed_penalty(peer.failed) + self._jitter()
+        return score + self._failed_penalty(peer.failed(now)) + self._jitter()
 
     def _fastest(self, service: str, candidates: list[peers.Peer]) -> int:
         """Return how long the fastest server holds a request, ms; 0 if not known."""
@@ -149,7 +143,7 @@
         return min(PACE_MOST, PACE_PENALTY * (pace_ms / self._fastest_ms - 1.0))
 
     def _failed_penalty(self, failed: float) -> float:
-        if failed < FAILED_WEIGHT or self.rt.rng.random() < FAILED_PROBE:
+        if failed < FAILED_LEAST or self.rt.rng.random() < FAILED_PROBE:
             return 0.0
         return FAILED_PENALTY * failed
 
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -20,7 +20,6 @@
     registry,
     runtime,
     servers,
-    store,
 )
 
 GATE_CLOSES_S = 1.2
@@ -111,14 +110,15 @@
         self.registry = registry.Registry(
             rt=rt,
             offer_policy=self._offered,
-            boxes_found=self._boxes_found,
-            box_written=self.peers.learn,
-            box_gone=self.peers.unlisted,
+            boxes_found=self.peers.only,
+            zone_rank=self.peers.zone_rank,
+            linked=self.peers.linked,
         )
 
     def start(self, now: float) -> list[effects.Effect]:
         """Return the effects that a start brings."""
         self._started = now
+        self.gate.server.start(now)
         self.seeds_changed(now, self.seeds)
         self.peers.start(now)
         self.origin.start(now)
@@ -209,8 +209,7 @@
                 self.gate.server.probe(now)
             case peers.PeersTimer():
                 self._tick_peers(now)
-            case registry.AskTimer(request=request):
-                self.registry.due(request)
+                self.registry.step(now)
             case RelayTimer(number=number):
                 self._relayed(number, False)
             case LeaveTimer():
@@ -242,15 +241,15 @@
                 self.origin.refused(now, peer, message)
             case messages.Broken():
                 self.origin.broken(now, peer, message)
-            case messages.Pong(version=version, busy=busy, pace_ms=pace_ms):
-                peer.told(now, busy)
-                peer.pace_ms = pace_ms
+            case messages.Pong(version=version, load=load):
+                peer.told(now, load)
                 self._heard_version(now, peer, version)
             case messages.GateState():
                 self.peers.gate_told(now, peer, message)
                 self._heard_version(now, peer, message.version)
             case messages.Welcome():
                 self.peers.welcomed(now, peer, message)
+                self.gate.server.vouch(now, message.left)
                 self.origin.budget.see_daemons(1 + len(self.peers.by_address))
                 self._heard_version(now, peer, message.gate.version)
             case messages.PolicyAsk():
@@ -293,23 +292,20 @@
         peer_link.delay_s(now, hello.sent_s)
         self.links[link] = peer_link
         self.peers.greet(now, hello.address)
-        self.gate.server.mark_left(now, hello.left)
+        self.gate.server.vouch(now, hello.left)
         welcome = messages.Welcome(
             box=self.identity.box,
             incarnation=self.identity.incarnation,
             zone=self.identity.zone,
             gate=self.gate.state(now),
+            left=self.peers.left_at(hello.box),
             sent_s=now,
         )
         self._send_back(link, welcome)
         self._ask_back(now, link, hello.version)
 
     def _pinged(self, now: float, link: int, version: int) -> None:
-        pong = messages.Pong(
-            version=self.rt.version,
-            busy=self.gate.busy,
-            pace_ms=self.gate.pace_ms,
-        )
+        pong = messages.Pong(version=self.rt.version, load=self.gate.load(now))
         self._send_back(link, pong)
         self._ask_back(now, link, version)
 
@@ -353,9 +349,6 @@
         self._announce(now)
         self.gate.server.probe(now)
 
-    def _boxes_found(self, now: float, records: tuple[store.BoxRecord, ...]) -> None:
-        self.peers.only(now, records)
-
     def _reply(self, now: float, job: gate.Job, message: messages.Any) -> None:
         """Carry a gate's word back to where the request began."""
         if job.link != gate.OWN:
@@ -448,7 +441,6 @@
         self.rt.stopping = True
         self._stop_at = now
         self.rt.note("stop", outcome="asked", calls=len(self.origin.by_conn))
-        self.registry.leave()
         self.rt.at(now + LEAVE_TICK_S, LeaveTimer())
 
     def _check_left(self, now: float) -> None:
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -16,6 +16,7 @@
     callgraph,
     effects,
     events,
+    health,
     messages,
     pressure,
     queueing,
@@ -97,6 +98,7 @@
     callers: callgraph.Callers = attrs.Factory(callgraph.Callers)
     calls_each: callgraph.CallsEach = attrs.Factory(callgraph.CallsEach)
     downstream: callgraph.Downstream = attrs.Factory(callgraph.Downstream)
+    health: health.Health = attrs.Factory(health.Health)
     by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
     hold_s: float = HOLD_START_S
     _queue_timer: bool = False
@@ -127,6 +129,14 @@
             else UNKNOWN_SLOTS
         )
 
+    def load(self, now: float) -> messages.Load:
+        """Return how the server does, to be told with each word of this gate."""
+        return messages.Load(
+            busy=self.busy,
+            pace_ms=self.pace_ms,
+            failed_pct=round(100 * self.health.failed(now)),
+        )
+
     def state(self, now: float) -> messages.GateState:
         """Return how the gate stands, to be told to the other daemons."""
         phase = messages.Phase.STOPPING if self.stopping else self.server.phase
@@ -203,6 +213,7 @@
             self._break(now, job, messages.Reason.BAD_ANSWER)
             self.rt.emit(effects.CancelDispatch(dispatch=event.dispatch))
             return
+        self.health.ended(now, failed=event.status >= 500)
         self._count_pressure(now, job, failed=event.status >= 500)
         if event.more:
             job.streaming = True
@@ -215,8 +226,7 @@
             body=event.body,
             more=event.more,
             total=event.total,
-            busy=self.busy,
-            pace_ms=self.pace_ms,
+            load=self.load(now),
             level=self.level(now, job.forward),
         )
         self.reply(now, job, answer)
@@ -382,22 +392,29 @@
         self.by_number.pop((job.link, job.forward.number), None)
 
     def _count_pressure(self, now: float, job: Job, *, failed: bool) -> None:
-        """Have an answer count for how much of its route is turned away."""
+        """Have an answer count for how much of its route is turned away.
+
+        Where runs make no calls nothing behind the server can be the cause, and the
+        choice of a server deals with one that fails by itself.
+        """
+        if not self.calls_each.makes_calls(job.forward.route):
+            return
         late = now - job.arrived > job.forward.target_s
         weight = 1.0 if failed else LATE_WEIGHT * late
         self.controls.route(job.forward.route).ended(now, weight)
 
     def _break(self, now: float, job: Job, reason: messages.Reason) -> None:
+        self.health.ended(now, failed=True)
         self._count_pressure(now, job, failed=True)
         self._end(now, job)
         self._note(job, "broken", reason)
         number = job.forward.number
-        self.reply(
-            now, job, messages.Broken(number=number, reason=reason, busy=self.busy)
-        )
+        broken = messages.Broken(number=number, reason=reason, load=self.load(now))
+        self.reply(now, job, broken)
 
     def _server_refused(self, now: float, job: Job, facts: events.AnswerFacts) -> None:
         self._end(now, job)
+        self.health.ended(now, failed=True)
         if facts.instance and facts.instance != self.server.instance:
             self.server.replaced(now, facts.instance)
         self._refuse(now, job, messages.Reason.SERVER_REFUSED, offered=True)
@@ -418,7 +435,7 @@
             reason=reason,
             retry_after_s=self._retry_after_s(reason),
             offered=offered,
-            busy=self.busy,
+            load=self.load(now),
             level=self.level(now, job.forward),
         )
         self.reply(now, job, refused)
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -55,6 +55,17 @@
     """What all messages have in common."""
 
 
+class Load(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """How the server beside a gate does, as its gate measures it."""
+
+    busy: int
+    """Requests at the server and in the gate's queue."""
+    pace_ms: int
+    """How long the server holds a request, running mean; 0 while not known."""
+    failed_pct: int
+    """Recent share of requests that it failed or refused, 0 to 100."""
+
+
 class GateState(Message, tag=1):
     """The server beside a daemon as its gate sees it."""
 
@@ -90,6 +101,8 @@
     incarnation: int
     zone: str
     gate: GateState
+    left: list[str]
+    """Lifetimes of the greeting box's server that are known to have left."""
     sent_s: float
 
 
@@ -104,9 +117,7 @@
     """The answer to a `Ping`, with the load of the server."""
 
     version: int
-    busy: int
-    pace_ms: int
-    """How long the server holds a request, running mean; 0 while not known."""
+    load: Load
 
 
 class PolicyAsk(Message, tag=6):
@@ -171,9 +182,7 @@
     more: bool
     total: int
     """Length of the body, bytes; -1 where the server did not tell."""
-    busy: int
-    """Requests at the server and in the gate's queue."""
-    pace_ms: int
+    load: Load
     level: float
 
 
@@ -190,7 +199,7 @@
 
     number: int
     reason: str
-    busy: int
+    load: Load
 
 
 class Refused(Message, tag=14):
@@ -201,7 +210,7 @@
     retry_after_s: float
     offered: bool
     """Whether the server itself was asked and said no."""
-    busy: int
+    load: Load
     level: float
 
 
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -134,11 +134,8 @@
         if call is None:
             return
         self._told(now, peer, message)
-        if peer is not None:
-            peer.pace_ms = message.pace_ms
         failed = message.status >= 500
-        self.chooser.ended(peer, failed)
-        outlier = failed and self.chooser.outlier(peer, call.service)
+        outlier = failed and self.chooser.outlier(now, peer, call.service)
         if outlier and not message.more and self._may_repeat(now, call):
             self._end_attempt(call)
             call.may_have_run = True
@@ -179,7 +176,7 @@
         call = self._current(peer, message.number)
         if call is None:
             return
-        self.chooser.ended(peer, True)
+        self._told(now, peer, message)
         self._lost(now, call, message.reason)
 
     def refused(
@@ -195,7 +192,6 @@
             call.offered -= 1
             self._elsewhere(now, call, message.reason, message.retry_after_s)
             return
-        self.chooser.ended(peer, True)
         call.servers.add(self._address(peer))
         if self._may_offer_again(now, call):
             if len(call.servers) >= call.route.attempts:
@@ -341,10 +337,12 @@
         self,
         now: float,
         peer: peers.Peer | None,
-        message: messages.Answer | messages.Refused,
+        message: messages.Answer | messages.Refused | messages.Broken,
     ) -> None:
         if peer is not None:
-            peer.told(now, message.busy)
+            peer.told(now, message.load)
+        if isinstance(message, messages.Broken):
+            return
         if message.level >= 0:
             self.gate.downstream.told(now, message.level)
             self.gate.calls_each.called(now)
--- a/ferrydeck/mesh/peers.py
+++ b/ferrydeck/mesh/peers.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 
 import attrs
 
-from ferrydeck.mesh import effects, messages, runtime, store
+from ferrydeck.mesh import effects, health, messages, runtime, store
 
 TICK_S = 0.1
 """How often links are looked after, seconds."""
 PING_IDLE_S = 1.0
 """A link on which nothing was sent for this long gets a ping, seconds: an idle
 fleet of 15 then sends 14 small messages a second from each daemon."""
+PINGS_PER_S = 15.0
+"""Pings of idle links that a daemon sends at most, a second: with many daemons idle
+links are asked less often, so that the cost of a daemon does not grow with them."""
 PING_WAITING_S = 0.1
 """A link on which an answer is waited for this long gets a ping, seconds."""
 SUSPECT_S = 0.35
@@ -29,6 +33,8 @@
 """The longest pause between two dials, seconds: a box that is back is wanted."""
 FORGET_S = 10.0
 """A box without record and link is forgotten after this long, seconds."""
+LEFT_MOST = 16
+"""Lifetimes that have left and are remembered for a box; each takes one server."""
 OVERSTATED_S = 0.5
 """How long a told load counts, seconds; it fades over that time."""
 
@@ -64,6 +70,8 @@
     pinged: float = -1e9
     waiting_since: float = float("inf")
     """When the first message was sent that nothing was heard after."""
+    doubted: bool = False
+    """Whether it was suspect when last looked at."""
     dial_at: float = 0.0
     dial_pause_s: float = REDIAL_S
     unlisted_at: float = 0.0
@@ -74,8 +82,8 @@
     told_at: float = -1e9
     pace_ms: int = 0
     """How long its server holds a request, as last told; 0 while not known."""
-    failed: float = 0.0
-    """Recent share of requests that its server failed or refused."""
+    told_failed: float = 0.0
+    """Share of requests that its server failed or refused, as last told."""
     version: int = 0
 
     def suspect(self, now: float) -> bool:
@@ -89,11 +97,17 @@
         ready = gate is not None and gate.phase == messages.Phase.READY
         return ready and self.link is Link.UP
 
-    def told(self, now: float, busy: int) -> None:
-        """Note the load that the box tells."""
-        self.told_busy = max(0, busy - len(self.out))
+    def told(self, now: float, load: messages.Load) -> None:
+        """Note how the box says that its server does."""
+        self.told_busy = max(0, load.busy - len(self.out))
+        self.pace_ms = load.pace_ms
+        self.told_failed = load.failed_pct / 100
         self.told_at = now
 
+    def failed(self, now: float) -> float:
+        """Return the share of requests that its server likely fails now."""
+        return health.faded(self.told_failed, now - self.told_at)
+
     def busy(self, now: float) -> float:
         """Return how many requests are likely there now."""
         share = max(0.0, 1.0 - (now - self.told_at) / OVERSTATED_S)
@@ -106,8 +120,8 @@
 
     rt: runtime.Runtime
     by_address: dict[str, Peer] = attrs.Factory(dict)
-    left: dict[str, set[str]] = attrs.Factory(dict)
-    """Lifetimes of servers that are known to have left, by box."""
+    left: dict[str, collections.deque[str]] = attrs.Factory(dict)
+    """The newest lifetimes of servers that are known to have left, by box."""
     changed: bool = True
     """Set when candidates may have changed; whoever caches them clears it."""
 
@@ -133,25 +147,34 @@
         peer = self._peer(now, address)
         peer.unlisted_at = now
 
-    def unlisted(self, now: float, box: str) -> None:
-        """Note that a daemon's record went."""
+    def only(self, now: float, records: tuple[store.BoxRecord, ...]) -> None:
+        """Take all records that there are."""
+        addresses = {one.address for one in records}
         for peer in self.by_address.values():
-            if peer.box == box and peer.listed:
+            if peer.listed and peer.address not in addresses:
                 peer.listed = False
                 peer.unlisted_at = now
-
-    def only(self, now: float, records: tuple[store.BoxRecord, ...]) -> None:
-        """Take all records that there are."""
-        boxes = {one.box for one in records}
-        for peer in list(self.by_address.values()):
-            if peer.listed and peer.box not in boxes:
-                self.unlisted(now, peer.box)
         for record in records:
             self.learn(now, record)
 
+    def linked(self) -> bool:
+        """Tell whether a link to any other daemon stands."""
+        return any(peer.link is Link.UP for peer in self.by_address.values())
+
+    def zone_rank(self) -> int:
+        """Return how many linked daemons of this zone come before this one."""
+        own = self.rt.identity
+        return sum(
+            peer.link is Link.UP
+            and peer.zone == own.zone
+            and peer.address < own.address
+            for peer in self.by_address.values()
+        )
+
     def tick(self, now: float) -> None:
         """Dial, ping and hang up as it is due."""
         self.rt.at(now + TICK_S, PeersTimer())
+        idle_s = max(PING_IDLE_S, len(self.by_address) / PINGS_PER_S)
         for peer in list(self.by_address.values()):
             match peer.link:
                 case Link.DOWN:
@@ -160,7 +183,7 @@
                     if now >= peer.dial_at:
                         self.hang(now, peer, "no greeting")
                 case Link.UP:
-                    self._up(now, peer)
+                    self._up(now, peer, idle_s)
 
     def link_up(self, now: float, address: str) -> None:
         """Greet a daemon to which a link was made."""
@@ -177,7 +200,7 @@
             zone=identity.zone,
             version=self.rt.version,
             sent_s=now,
-            left=sorted(self.left.get(peer.box, ())),
+            left=self.left_at(peer.box),
         )
         self.send(now, peer, hello)
 
@@ -210,9 +233,9 @@
         peer.version = max(peer.version, gate.version)
         self.changed = True
         if gate.phase == messages.Phase.LEAVING and gate.instance:
-            self.left.setdefault(peer.box, set()).add(gate.instance)
+            self._note_left(peer.box, gate.instance)
         if old is None or (old.phase, old.instance) != (gate.phase, gate.instance):
-            peer.failed = 0.0
+            peer.told_failed = 0.0
             self.rt.note(
                 "server-seen",
                 outcome=gate.phase,
@@ -221,6 +244,10 @@
                 instance=gate.instance,
             )
 
+    def left_at(self, box: str) -> list[str]:
+        """Return the lifetimes of a box's server that are known to have left."""
+        return list(self.left.get(box, ()))
+
     def heard(self, now: float, address: str) -> Peer | None:
         """Note a word of a daemon; return it."""
         peer = self.by_address.get(address)
@@ -228,6 +255,7 @@
             return None
         peer.heard = now
         peer.waiting_since = float("inf")
+        peer.doubted = False
         return peer
 
     def send(self, now: float, peer: Peer, message: messages.Any) -> None:
@@ -248,6 +276,11 @@
                 return peer
         return None
 
+    def _note_left(self, box: str, instance: str) -> None:
+        known = self.left.setdefault(box, collections.deque(maxlen=LEFT_MOST))
+        if instance not in known:
+            known.append(instance)
+
     def _peer(self, now: float, address: str) -> Peer:
         peer = self.by_address.get(address)
         if peer is None:
@@ -269,23 +302,39 @@
         peer.waiting_since = float("inf")
         self.rt.emit(effects.Dial(address=peer.address))
 
-    def _up(self, now: float, peer: Peer) -> None:
+    def _up(self, now: float, peer: Peer, idle_s: float) -> None:
         silent_s = now - peer.waiting_since
         if silent_s > HANG_S:
             self.hang(now, peer, "silent")
             return
-        idle = now - peer.sent >= PING_IDLE_S
+        if peer.suspect(now) and not peer.doubted:
+            peer.doubted = True
+            self._doubt_zone(now, peer.zone)
+        idle = now - peer.sent >= idle_s
         waiting = silent_s >= PING_WAITING_S and peer.pinged < peer.waiting_since
         if idle or waiting:
-            peer.pinged = now
-            ping = messages.Ping(version=self.rt.version, sent_s=now)
-            self.send(now, peer, ping)
+            self._ping(now, peer)
+
+    def _doubt_zone(self, now: float, zone: str) -> None:
+        """Ask the quiet daemons of a zone of which one is silent.
+
+        The zone may be cut off: each would be found silent by a request of its own.
+        """
+        for peer in self.by_address.values():
+            quiet = now - max(peer.heard, peer.sent) > SUSPECT_S
+            if quiet and peer.zone == zone and peer.link is Link.UP:
+                self._ping(now, peer)
+
+    def _ping(self, now: float, peer: Peer) -> None:
+        peer.pinged = now
+        self.send(now, peer, messages.Ping(version=self.rt.version, sent_s=now))
 
     def _lost(self, now: float, peer: Peer, why: str) -> None:
         if peer.link is Link.UP:
             self.rt.note("link-lost", reason=why, peer=peer.box, waiting=len(peer.out))
         peer.link = Link.DOWN
         peer.waiting_since = float("inf")
+        peer.doubted = False
         peer.dial_at = now + peer.dial_pause_s * (0.5 + self.rt.rng.random() / 2)
         peer.dial_pause_s = min(REDIAL_MOST_S, 2 * peer.dial_pause_s)
         peer.gate = None
--- a/ferrydeck/mesh/registry.py
+++ b/ferrydeck/mesh/registry.py
@@ -1,4 +1,9 @@
-"""What is kept in the platform's store: the policy, and how daemons are found."""
+"""What is kept in the platform's store: the policy, and how daemons are found.
+
+Calls are made from state, not from a queue: each step asks for what is due and not
+yet asked. While the store does not answer, one cheap call alone looks whether it is
+back; calls are priced, refused ones too.
+"""
 
 from __future__ import annotations
 
@@ -11,25 +16,32 @@
 LEASE_S = 30.0
 """Life of this box's record without a renewal, seconds: longer than the outages
 of the store that the users' pages show, so that most pass without a trace."""
-KEEP_EVERY_S = 10.0
+KEEP_EVERY_S = 2.0
+"""Pause between renewals, seconds: the users want records that lapsed while the store
+was away back two seconds after its return, and a renewal costs a tenth of a call."""
+BOXES_FIRST_S = 1.0
+BOXES_EVERY_S = 5.0
+"""Pause between reads of the records, doubled from the first figure to the second,
+seconds. Links tell of changes at once; the records only join daemons that know
+nothing of each other."""
+MISSING_S = 5.0
+"""A stale read that lacks this box's record this long after it was written shows
+that it was taken away, seconds; such reads are up to three seconds old."""
 POLICY_WAIT_S = 10.0
 """How long one watch of the policy waits, seconds. A watch that was cut without
 a word hears nothing for that long; the other daemons tell sooner."""
-BOXES_WAIT_S = 20.0
+WATCHERS = 4
+"""Daemons of a data centre that watch the policy; the others hear of it on links."""
 GATHER_S = 0.1
-"""Pause before a watch is asked anew after a change, so that changes that come
-together cost one call, seconds."""
+"""Pause before the policy is asked for anew after a change, seconds: changes that come
+together then cost one call."""
+WATCH_AFTER_S = 1.0
+"""From the start until a daemon with a policy may watch, seconds: its links, which
+show how many others do, take less."""
 RETRY_S = 0.25
-RETRY_MOST_S = 1.0
-"""Pause after a failed call, doubled up to the second figure, seconds: records
-have to be back within two seconds of the store's return."""
-
-
-@attrs.define(kw_only=True, frozen=True)
-class AskTimer:
-    """Time to send a request to the store."""
-
-    request: store.Request
+RETRY_MOST_S = 0.5
+"""Pause after a failed call, doubled up to the second figure, seconds: with the
+client's limit of 1.5 s, records are back two seconds after the store's return."""
 
 
 @attrs.define(kw_only=True)
@@ -39,174 +51,202 @@
     rt: runtime.Runtime
     offer_policy: Callable[[float, policy.Policy, str], None]
     boxes_found: Callable[[float, tuple[store.BoxRecord, ...]], None]
-    box_written: Callable[[float, store.BoxRecord], None]
-    box_gone: Callable[[float, str], None]
+    zone_rank: Callable[[], int]
+    """Tells how many linked daemons of this data centre come before this one."""
+    linked: Callable[[], bool]
+    """Tells whether this daemon is linked with any other one."""
     reached: bool = False
     """Whether the last call was answered."""
     answered_at: float = -1e9
     seen_boxes: bool = False
     """Whether the records were read at least once."""
-    seen_policy: bool = False
-    """Whether the policy was asked for and the store answered."""
+    _down: bool = False
+    """Whether the last call failed, so that only one looks for the store's return."""
+    _asked: dict[type, store.Request] = attrs.Factory(dict)
+    """Requests without an answer, one a type."""
+    _started: float = 0.0
+    _quiet_until: float = 0.0
+    _pause_s: float = RETRY_S
     _lease: int = 0
-    _boxes_at: int = 0
-    _policy_at: int = 0
-    _pauses: dict[type, float] = attrs.Factory(dict)
+    _keep_at: float = 0.0
+    _put_at: float | None = None
+    _boxes_at: float = 0.0
+    _boxes_pause_s: float = BOXES_FIRST_S
+    _boxes_stale: bool = True
+    """Whether the next read of the records may be seconds old."""
+    _policy_at: float = 0.0
+    _policy_revision: int | None = None
+    _policy_stale: bool = True
+    """Whether the next read of the policy may be seconds old."""
 
     def start(self, now: float) -> None:
         """Read the policy and the records, and write this box's own."""
-        self._ask(store.ReadPolicy())
-        self._ask(store.ReadBoxes())
-        self._ask(store.GrantLease(ttl_s=LEASE_S))
+        self._started = now
+        self.step(now)
 
-    def leave(self) -> None:
-        """Take this box's record out of the store."""
-        if self._lease:
-            self._ask(store.EndLease(lease=self._lease))
-            self._lease = 0
-
-    def due(self, request: store.Request) -> None:
-        """Send a request whose time has come."""
-        if isinstance(request, store.KeepLease) and request.lease != self._lease:
+    def step(self, now: float) -> None:
+        """Ask for what is due; to be called often."""
+        if self.rt.stopping or now < self._quiet_until:
             return
-        self._ask(request)
+        if self._down:
+            if not self._asked.keys() & {store.KeepLease, store.ReadBoxes}:
+                self._look_for_return()
+            return
+        self._step_policy(now)
+        self._step_record(now)
+        if now >= self._boxes_at:
+            self._ask(store.ReadBoxes(stale=self._boxes_stale))
 
     def answered(
         self, now: float, request: store.Request, result: store.Result
     ) -> None:
         """Act on the store's answer."""
+        current = self._asked.get(type(request)) is request
+        if current:
+            del self._asked[type(request)]
         if isinstance(result, store.NoAnswer):
-            self._failed(now, request, result)
+            if current:
+                self._failed(now, result)
             return
         self._reached(now)
-        self._pauses.pop(type(request), None)
         match request:
             case store.ReadPolicy() | store.WatchPolicy():
-                self._policy_answered(now, request, result)
-            case store.ReadBoxes() | store.WatchBoxes():
+                self._policy_answered(now, result)
+            case store.ReadBoxes():
                 self._boxes_answered(now, request, result)
             case store.GrantLease():
                 self._granted(now, result)
-            case store.KeepLease():
-                self._kept(now, request, result)
-            case store.PutBox():
-                if isinstance(result, store.LeaseOver):
-                    self._lease_over(now)
-            case store.EndLease():
-                pass
-
-    def _policy_answered(
-        self, now: float, request: store.Request, result: store.Result
-    ) -> None:
+            case store.KeepLease(lease=lease) | store.PutBox(lease=lease):
+                if lease == self._lease:
+                    self._leased(now, request, result)
+        self.step(now)
+
+    def _step_policy(self, now: float) -> None:
+        if self._asked.keys() & {store.ReadPolicy, store.WatchPolicy}:
+            return
+        if not self._wants_policy(now):
+            return
+        if self._policy_revision is None:
+            self._ask(store.ReadPolicy(stale=self._policy_stale))
+            return
+        watch = store.WatchPolicy(after=self._policy_revision, wait_s=POLICY_WAIT_S)
+        self._ask(watch)
+
+    def _wants_policy(self, now: float) -> bool:
+        if self.rt.policy is None:
+            return True
+        if now < self._policy_at:
+            return False
+        settled = now - self._started >= WATCH_AFTER_S
+        return settled and self.zone_rank() < WATCHERS
+
+    def _step_record(self, now: float) -> None:
+        if not self._lease:
+            self._ask(store.GrantLease(ttl_s=LEASE_S))
+        elif self._put_at is None:
+            self._ask(store.PutBox(record=self._record(), lease=self._lease))
+        elif now >= self._keep_at:
+            self._ask(store.KeepLease(lease=self._lease))
+
+    def _look_for_return(self) -> None:
+        """Make the cheapest call there is."""
+        if self._lease:
+            self._ask(store.KeepLease(lease=self._lease))
+        else:
+            self._ask(store.ReadBoxes(stale=True))
+
+    def _policy_answered(self, now: float, result: store.Result) -> None:
         if isinstance(result, store.HistoryGone):
-            self._ask(store.ReadPolicy())
+            # A stale read would lead to a revision that is forgotten as well.
+            self._policy_revision = None
+            self._policy_stale = False
             return
         if not isinstance(result, store.PolicyFound):
             return
-        self.seen_policy = True
-        self._policy_at = max(self._policy_at, result.at)
+        self._policy_revision = max(self._policy_revision or 0, result.at)
         if result.fault:
             self.rt.note("policy-rejected", reason=result.fault, source="store")
         if result.policy is not None:
             self.offer_policy(now, result.policy, "store")
-        pause = GATHER_S if result.policy is not None else 0.0
-        if isinstance(request, store.ReadPolicy) and self.rt.policy is None:
-            pause = 0.0
-        watch = store.WatchPolicy(after=self._policy_at, wait_s=POLICY_WAIT_S)
-        self._ask_at(now + pause, watch)
+            self._policy_at = now + GATHER_S
 
     def _boxes_answered(
-        self, now: float, request: store.Request, result: store.Result
+        self, now: float, request: store.ReadBoxes, result: store.Result
     ) -> None:
-        match result:
-            case store.HistoryGone():
-                self._ask(store.ReadBoxes())
-                return
-            case store.BoxesFound(records=records, at=at):
-                self._boxes_at = at
-                self.seen_boxes = True
-                self.boxes_found(now, records)
-                own = any(one.box == self.rt.identity.box for one in records)
-                if self._lease and not own:
-                    self._put()
-            case store.BoxesChanged(written=written, gone=gone, at=at):
-                self._boxes_at = max(self._boxes_at, at)
-                self._take_changes(now, written, gone)
-        watch = store.WatchBoxes(after=self._boxes_at, wait_s=BOXES_WAIT_S)
-        self._ask_at(now + GATHER_S, watch)
-
-    def _take_changes(
-        self,
-        now: float,
-        written: tuple[store.BoxRecord, ...],
-        gone: tuple[str, ...],
-    ) -> None:
-        for record in written:
-            self.box_written(now, record)
-        for box in gone:
-            self.box_gone(now, box)
-        if self.rt.identity.box in gone and not self.rt.stopping:
-            # The lease may stand though the key was taken away.
-            self._lease_over(now)
+        if not isinstance(result, store.BoxesFound):
+            return
+        self.seen_boxes = True
+        self.boxes_found(now, result.records)
+        if request.stale and not self._boxes_stale:
+            return
+        self._boxes_stale = True
+        self._boxes_at = now + self._boxes_pause_s * (0.8 + 0.4 * self.rt.rng.random())
+        self._boxes_pause_s = min(BOXES_EVERY_S, 2 * self._boxes_pause_s)
+        own = any(one.box == self.rt.identity.box for one in result.records)
+        written = self._put_at is not None and now - self._put_at > MISSING_S
+        if written and not own:
+            self.rt.note("record-lost", reason="missing", lease=self._lease)
+            self._put_at = None
 
     def _granted(self, now: float, result: store.Result) -> None:
-        if not isinstance(result, store.Leased) or self.rt.stopping:
-            return
-        self._lease = result.lease
-        self._put()
-        keep = min(KEEP_EVERY_S, result.ttl_s / 3)
-        self._ask_at(now + keep, store.KeepLease(lease=self._lease))
+        if isinstance(result, store.Leased):
+            self._lease = result.lease
+            self._keep_at = now + KEEP_EVERY_S
+            self._put_at = None
 
-    def _kept(self, now: float, request: store.KeepLease, result: store.Result) -> None:
-        if request.lease != self._lease:
-            return
+    def _leased(
+        self,
+        now: float,
+        request: store.KeepLease | store.PutBox,
+        result: store.Result,
+    ) -> None:
+        """Act on the answer to a call with the lease that is held."""
         if isinstance(result, store.LeaseOver):
-            self._lease_over(now)
+            self.rt.note("lease-lost", reason="over", lease=self._lease)
+            self._lease = 0
             return
-        self._ask_at(now + KEEP_EVERY_S, store.KeepLease(lease=self._lease))
-
-    def _lease_over(self, now: float) -> None:
-        if self.rt.stopping:
+        if isinstance(request, store.KeepLease):
+            self._keep_at = now + KEEP_EVERY_S
             return
-        self.rt.note("lease-lost", reason="over", lease=self._lease)
-        self._lease = 0
-        self._ask(store.GrantLease(ttl_s=LEASE_S))
-
-    def _put(self) -> None:
+        self._put_at = now
+        if not self.linked():
+            # Of two daemons that start together, the one whose record comes later
+            # sees the other's, if its read is not stale.
+            self._boxes_stale = False
+            self._boxes_at = now
+
+    def _record(self) -> store.BoxRecord:
         identity = self.rt.identity
-        record = store.BoxRecord(
+        return store.BoxRecord(
             box=identity.box,
             incarnation=identity.incarnation,
             address=identity.address,
             zone=identity.zone,
             service=identity.service,
         )
-        self._ask(store.PutBox(record=record, lease=self._lease))
 
-    def _failed(
-        self, now: float, request: store.Request, result: store.NoAnswer
-    ) -> None:
+    def _failed(self, now: float, result: store.NoAnswer) -> None:
         if self.reached:
             self.rt.note("store-lost", reason=result.detail)
         self.reached = False
-        if isinstance(request, store.EndLease):
-            return
-        leased = isinstance(request, store.KeepLease | store.PutBox)
-        if leased and request.lease != self._lease:
-            return
-        pause = self._pauses.get(type(request), RETRY_S)
-        self._pauses[type(request)] = min(RETRY_MOST_S, 2 * pause)
-        wait = pause * (0.5 + self.rt.rng.random() / 2)
-        self._ask_at(now + wait, request)
+        self._down = True
+        self._quiet_until = now + self._pause_s * (0.5 + self.rt.rng.random() / 2)
+        self._pause_s = min(RETRY_MOST_S, 2 * self._pause_s)
 
     def _reached(self, now: float) -> None:
         if not self.reached:
             self.rt.note("store-regained", silent_s=round(now - self.answered_at, 3))
+        if self._down:
+            # A watch from before may hang on a connection that says nothing more.
+            self._asked.pop(store.WatchPolicy, None)
         self.reached = True
+        self._down = False
+        self._quiet_until = 0.0
+        self._pause_s = RETRY_S
         self.answered_at = now
 
     def _ask(self, request: store.Request) -> None:
+        if type(request) in self._asked:
+            return
+        self._asked[type(request)] = request
         self.rt.emit(effects.AskStore(request=request))
-
-    def _ask_at(self, when: float, request: store.Request) -> None:
-        self.rt.at(when, AskTimer(request=request))
--- a/ferrydeck/mesh/servers.py
+++ b/ferrydeck/mesh/servers.py
@@ -10,6 +10,12 @@
 
 PROBE_RETRY_S = 0.5
 """Pause before a server that failed its health check is asked again, seconds."""
+VOUCH_S = 0.5
+"""How long a gate that starts waits for another daemon's word on which lifetimes of
+its server have left, seconds: the first link stands after some milliseconds."""
+REPORTS_LEAST = 2
+"""Reports that open a gate against the health check, which may be wrong either way:
+a single one may have been on its way since before the server said that it leaves."""
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -40,13 +46,26 @@
     left: set[str] = attrs.Factory(set)
     """Lifetimes of the server that have said that they leave."""
     _sequences: dict[str, int] = attrs.Factory(dict)
+    _reports: int = 0
+    """Reports in a row of one lifetime that it is ready, while the gate is not open."""
+    _reported: str = ""
     _probing: bool = False
+    _vouched: bool = False
+    """Whether another daemon has told which lifetimes have left."""
+    _vouch_until: float = 0.0
+
+    def start(self, now: float) -> None:
+        """Begin to wait for another daemon's word."""
+        self._vouch_until = now + VOUCH_S
+        self.rt.at(self._vouch_until, ProbeTimer())
 
     def probe(self, now: float) -> None:
         """Ask the server whether it is well, unless it was asked already."""
         service = self._service()
         if service is None or self._probing or self.phase is messages.Phase.READY:
             return
+        if not self._vouched and now < self._vouch_until:
+            return
         self._probing = True
         self.rt.emit(effects.Probe(path=service.health_path))
 
@@ -81,25 +100,29 @@
         self.cold_until = max(self.cold_until, now + beat.cold_s)
         if self.phase is messages.Phase.READY and self.instance == beat.instance:
             return True
-        if self.phase is messages.Phase.UNKNOWN:
+        if self.phase is messages.Phase.UNKNOWN and not self._confirmed(beat.instance):
             # The word may be older than a leaving that an earlier process of
-            # this daemon acknowledged: only the server knows.
+            # this daemon acknowledged.
             self.probe(now)
             return True
         self._open(now, beat.instance, "report")
         return True
 
-    def mark_left(self, now: float, instances: list[str]) -> None:
-        """Take the word of another daemon that lifetimes of the server have left."""
-        for instance in instances:
+    def vouch(self, now: float, left: list[str]) -> None:
+        """Take the word of another daemon on which lifetimes have left."""
+        for instance in left:
             if instance not in self.left:
                 self._leave(now, instance, "told by a peer")
+        if not self._vouched:
+            self._vouched = True
+            self.probe(now)
 
     def replaced(self, now: float, instance: str) -> None:
         """Close until the lifetime that answers now has reported or is well."""
         self.rt.note("server-changed", instance=instance, expected=self.instance)
         self.phase = messages.Phase.UNKNOWN
         self.instance = ""
+        self._reports = 0
         self.closed(now, messages.Reason.INSTANCE)
         self.probe(now)
 
@@ -111,6 +134,12 @@
         self.phase = messages.Phase.DOWN
         self.closed(now, messages.Reason.CLOSED)
 
+    def _confirmed(self, instance: str) -> bool:
+        """Count a report; tell whether there are enough without a health check."""
+        self._reports = self._reports + 1 if instance == self._reported else 1
+        self._reported = instance
+        return self._reports >= REPORTS_LEAST
+
     def _open(self, now: float, instance: str, why: str) -> None:
         self.phase = messages.Phase.READY
         self.instance = instance
--- a/ferrydeck/mesh/store.py
+++ b/ferrydeck/mesh/store.py
@@ -11,6 +11,9 @@
 class ReadPolicy:
     """Read the policy."""
 
+    stale: bool = False
+    """Whether a policy that is seconds old does: such a read is cheap for the store."""
+
 
 @attrs.define(kw_only=True, frozen=True)
 class WatchPolicy:
@@ -24,13 +27,8 @@
 class ReadBoxes:
     """Read all records of boxes."""
 
-
-@attrs.define(kw_only=True, frozen=True)
-class WatchBoxes:
-    """Wait for a change of the records of boxes after a revision."""
-
-    after: int
-    wait_s: float
+    stale: bool = False
+    """Whether records that are seconds old do: such a read is cheap for the store."""
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -47,13 +45,6 @@
     lease: int
 
 
-@attrs.define(kw_only=True, frozen=True)
-class EndLease:
-    """End a lease, and with it the keys under it."""
-
-    lease: int
-
-
 @attrs.define(kw_only=True, frozen=True)
 class PutBox:
     """Write this box's record under its lease."""
@@ -62,16 +53,7 @@
     lease: int
 
 
-Request = (
-    ReadPolicy
-    | WatchPolicy
-    | ReadBoxes
-    | WatchBoxes
-    | GrantLease
-    | KeepLease
-    | EndLease
-    | PutBox
-)
+Request = ReadPolicy | WatchPolicy | ReadBoxes | GrantLease | KeepLease | PutBox
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -98,19 +80,9 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class BoxesFound:
-    """All records, as of a revision."""
+    """All records."""
 
     records: tuple[BoxRecord, ...]
-    at: int
-
-
-@attrs.define(kw_only=True, frozen=True)
-class BoxesChanged:
-    """Records that were written and boxes whose record went, as of a revision."""
-
-    written: tuple[BoxRecord, ...]
-    gone: tuple[str, ...]
-    at: int
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -143,13 +115,4 @@
     detail: str
 
 
-Result = (
-    PolicyFound
-    | BoxesFound
-    | BoxesChanged
-    | Leased
-    | Done
-    | LeaseOver
-    | HistoryGone
-    | NoAnswer
-)
+Result = PolicyFound | BoxesFound | Leased | Done | LeaseOver | HistoryGone | NoAnswer
--- a/ferrydeck/platform/kv.py
+++ b/ferrydeck/platform/kv.py
@@ -16,6 +16,7 @@
 POLICY_KEY = "op/config"
 BOXES = "ferrydeck/box/"
 PAGE_MORE = "more"
+STALE = "&stale=1"
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -30,21 +31,19 @@
 def to_http(request: store.Request) -> Call:
     """Return the HTTP form of a request."""
     match request:
-        case store.ReadPolicy():
-            return Call(method="GET", path=f"/api/kv-key?tls_key={quote(POLICY_KEY)}")
+        case store.ReadPolicy(stale=stale):
+            path = f"/api/kv-key?tls_key={quote(POLICY_KEY)}"
+            return Call(method="GET", path=path + STALE * stale)
         case store.WatchPolicy(after=after, wait_s=wait_s):
             return _watch(POLICY_KEY, after, wait_s)
-        case store.ReadBoxes():
-            return Call(method="GET", path=f"/api/kv-range?path_prefix={quote(BOXES)}")
-        case store.WatchBoxes(after=after, wait_s=wait_s):
-            return _watch(BOXES, after, wait_s)
+        case store.ReadBoxes(stale=stale):
+            path = f"/api/kv-range?path_prefix={quote(BOXES)}"
+            return Call(method="GET", path=path + STALE * stale)
         case store.GrantLease(ttl_s=ttl_s):
             body = msgspec.json.encode({"ttl_time": f"{int(ttl_s * 1000)}ms"})
             return Call(method="POST", path="/api/kv-lease", body=body)
         case store.KeepLease(lease=lease):
             return Call(method="POST", path=f"/api/kv-keep/{lease}")
-        case store.EndLease(lease=lease):
-            return Call(method="DELETE", path=f"/api/kv-lease-end/{lease}")
         case store.PutBox(record=record, lease=lease):
             return _put(record, lease)
 
@@ -78,9 +77,9 @@
         case store.ReadPolicy(), 404:
             at = msgspec.json.decode(body).get("at", 0) if body else 0
             return store.PolicyFound(policy=None, at=at)
-        case ((store.WatchPolicy() | store.WatchBoxes()), 410):
+        case store.WatchPolicy(), 410:
             return store.HistoryGone()
-        case ((store.KeepLease() | store.PutBox() | store.EndLease()), 404):
+        case ((store.KeepLease() | store.PutBox()), 404):
             return store.LeaseOver()
         case _, 200:
             return _read_ok(request, bodies)
@@ -89,7 +88,7 @@
 
 
 def _read_ok(request: store.Request, bodies: list[bytes]) -> store.Result:
-    if isinstance(request, store.EndLease | store.PutBox):
+    if isinstance(request, store.PutBox):
         return store.Done()
     pages = [msgspec.json.decode(body) for body in bodies]
     answer = pages[0]
@@ -104,12 +103,7 @@
             return _policy(kept[-1], answer["at"])
         case store.ReadBoxes():
             items = [item for page in pages for item in page["items"]]
-            # The first page's revision: a watch from there misses no later change.
-            return store.BoxesFound(
-                records=tuple(_record(item) for item in items), at=answer["at"]
-            )
-        case store.WatchBoxes():
-            return _boxes_changed(answer)
+            return store.BoxesFound(records=tuple(_record(item) for item in items))
         case store.GrantLease():
             return store.Leased(
                 lease=answer["lease"], ttl_s=units.seconds(answer["ttl_time"])
@@ -125,17 +119,6 @@
     return store.PolicyFound(policy=made, at=at)
 
 
-def _boxes_changed(answer: dict[str, Any]) -> store.BoxesChanged:
-    last = {one["tls_key"]: one for one in answer["events"]}
-    written = [one for one in last.values() if not one.get("gone")]
-    gone = [key for key, one in last.items() if one.get("gone")]
-    return store.BoxesChanged(
-        written=tuple(_record(item) for item in written),
-        gone=tuple(key.removeprefix(BOXES) for key in gone),
-        at=answer["at"],
-    )
-
-
 def _record(item: dict[str, Any]) -> store.BoxRecord:
     return msgspec.json.decode(base64.b64decode(item["value"]), type=store.BoxRecord)
 
--- a/ferrydeck/replay/mesh_world.py
+++ b/ferrydeck/replay/mesh_world.py
@@ -68,6 +68,8 @@
     work_s: float = 0.05
     up: bool = True
     leaving: bool = False
+    health: bool | None = None
+    """What its health check says, where it is wrong; `None` where it is right."""
     loses_answers: bool = False
     sheds: bool = False
     sheds_share: float = 0.0
@@ -108,9 +110,9 @@
     policy_revision: int = 0
     revision: int = 1
     records: dict[str, store.BoxRecord] = attrs.Factory(dict)
-    record_lease: dict[str, int] = attrs.Factory(dict)
-    changes: list[tuple[int, str, store.BoxRecord | None]] = attrs.Factory(list)
-    watches: list[tuple[Box, int, Any]] = attrs.Factory(list)
+    leases: set[int] = attrs.Factory(set)
+    store_calls: collections.Counter[str] = attrs.Factory(collections.Counter)
+    watches: list[tuple[Box, int, store.WatchPolicy, float]] = attrs.Factory(list)
     store_up: bool = True
     cut: Callable[[Box, Box], bool] = lambda one, other: False
     store_cut: Callable[[Box], bool] = lambda box: False
@@ -496,8 +498,9 @@
 
     def _probe(self, box: Box) -> None:
         server = box.server
+        right = server.up and not server.leaving
         probed = events.ProbeAnswered(
-            well=server.up and not server.leaving,
+            well=right if server.health is None else server.health,
             instance=server.instance if server.up else "",
             slots=server.slots,
         )
@@ -528,8 +531,14 @@
         )
         self.feed(box, beat)
 
+    def lapse_leases(self) -> None:
+        """Have all leases run out, and the records with them."""
+        self.leases.clear()
+        self.records.clear()
+
     def _ask_store(self, box: Box, request: store.Request) -> None:
         life = box.life
+        self.store_calls[type(request).__name__] += 1
 
         def serve() -> None:
             if box.life == life:
@@ -547,62 +556,48 @@
             case store.ReadPolicy():
                 result = store.PolicyFound(policy=self.policy, at=self.revision)
             case store.ReadBoxes():
-                result = store.BoxesFound(
-                    records=tuple(self.records.values()), at=self.revision
-                )
+                result = store.BoxesFound(records=tuple(self.records.values()))
             case store.GrantLease(ttl_s=ttl_s):
-                result = store.Leased(lease=self.number(), ttl_s=ttl_s)
+                lease = self.number()
+                self.leases.add(lease)
+                result = store.Leased(lease=lease, ttl_s=ttl_s)
+            case store.KeepLease(lease=lease) | store.PutBox(lease=lease) if (
+                lease not in self.leases
+            ):
+                result = store.LeaseOver()
             case store.KeepLease(lease=lease):
                 result = store.Leased(lease=lease, ttl_s=30.0)
             case store.PutBox(record=record):
                 self.records[record.box] = record
-                self._changed(record.box, record)
                 result = store.Done()
-            case store.EndLease():
-                if self.records.pop(box.name, None) is not None:
-                    self._changed(box.name, None)
-                result = store.Done()
-            case _:
-                self.watches.append((box, life, request))
-                self.after(request.wait_s, self._tell_watches)
+            case store.WatchPolicy():
+                self.watches.append((box, life, request, self.now + request.wait_s))
+                self.after(request.wait_s + STORE_S, self._tell_watches)
                 self._tell_watches()
                 return
         self.feed(box, events.StoreAnswered(request=request, result=result))
 
-    def _changed(self, name: str, record: store.BoxRecord | None) -> None:
-        self.revision += 1
-        self.changes.append((self.revision, name, record))
-        self._tell_watches()
-
     def _tell_watches(self) -> None:
         waiting, self.watches = self.watches, []
-        for box, life, request in waiting:
+        for box, life, request, ends in waiting:
             if box.life != life:
                 continue
             if not self.store_up or self.store_cut(box):
                 result = store.NoAnswer(detail="down")
             else:
-                result = self._watched(request)
+                result = self._watched(request, ends)
             if result is None:
-                self.watches.append((box, life, request))
+                self.watches.append((box, life, request, ends))
                 continue
             answered = events.StoreAnswered(request=request, result=result)
             self.feed_later(box, answered, STORE_S)
 
-    def _watched(self, request: Any) -> store.Result | None:
-        if isinstance(request, store.WatchPolicy):
-            if self.policy_revision > request.after:
-                return store.PolicyFound(policy=self.policy, at=self.revision)
-            return None
-        changed = [one for one in self.changes if one[0] > request.after]
-        if not changed:
-            return None
-        last = {name: record for _, name, record in changed}
-        return store.BoxesChanged(
-            written=tuple(one for one in last.values() if one is not None),
-            gone=tuple(name for name, one in last.items() if one is None),
-            at=self.revision,
-        )
+    def _watched(self, request: store.WatchPolicy, ends: float) -> store.Result | None:
+        if self.policy_revision > request.after:
+            return store.PolicyFound(policy=self.policy, at=self.revision)
+        if self.now >= ends:
+            return store.PolicyFound(policy=None, at=self.revision)
+        return None
 
 
 def faults(world: World) -> list[str]:
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -452,3 +452,24 @@
         arrived.setdefault(one.request_id, set()).add(one.box)
     assert max(len(boxes) for boxes in arrived.values()) == 2
     assert len(world.runs) - len(arrived) <= 0.2 * len(asked) + 48
+
+
+def test_a_route_without_calls_is_not_turned_away_while_its_server_fails():
+    world = samples.world_of(2)
+    for box in world.boxes.values():
+        box.server.loses_answers = True
+    asked = load(world, "box-0", 200, every_s=0.02)
+    world.run(3)
+    assert not [one for one in asked if one.told.reason == "pressure"]
+
+
+def test_a_zone_that_is_cut_off_is_found_silent_by_one_request():
+    world = samples.world_of(40, zones=2)
+    world.run(3)
+    far = [box for box in world.boxes.values() if box.zone == "hall-1"]
+    world.cut = lambda one, other: one.zone != other.zone
+    own = world.boxes["box-0"].core.peers
+    own.by_address[far[0].address].waiting_since = world.now
+    world.run(1.0)
+    suspects = [own.by_address[box.address] for box in far]
+    assert all(one.suspect(world.now) or not one.open for one in suspects)
--- /dev/null
+++ b/tests/mesh/test_registry.py
@@ -0,0 +1,77 @@
+"""How often daemons call the store, and how soon their records are back."""
+
+from __future__ import annotations
+
+from tests.mesh import samples
+
+
+def calls_made(world, seconds: float) -> dict[str, int]:
+    world.store_calls.clear()
+    world.run(seconds)
+    return dict(world.store_calls)
+
+
+def test_a_calm_fleet_makes_cheap_calls_only_but_for_few_watches():
+    world = samples.world_of(12, zones=2)
+    world.run(20)
+    calls = calls_made(world, 30)
+    # Four daemons of each data centre watch, each watch lasts ten seconds.
+    assert calls.pop("WatchPolicy") <= 2 * 4 * 4
+    assert set(calls) == {"KeepLease", "ReadBoxes"}
+
+
+def test_a_policy_reaches_daemons_that_do_not_watch():
+    world = samples.world_of(12, zones=2)
+    world.run(20)
+    world.use(samples.policy_of(samples.route("new"), version=9))
+    world.run(0.5)
+    assert {box.core.rt.version for box in world.boxes.values()} == {9}
+
+
+def test_others_watch_when_those_who_do_are_gone():
+    world = samples.world_of(6)
+    world.run(20)
+    for name in ("box-0", "box-1", "box-2", "box-3"):
+        world.kill(world.boxes[name], 30)
+    world.run(1)
+    world.use(samples.policy_of(samples.route("new"), version=9))
+    world.run(1)
+    assert {world.boxes[name].core.rt.version for name in ("box-4", "box-5")} == {9}
+
+
+def test_an_outage_of_the_store_costs_one_cheap_call_at_a_time():
+    world = samples.world_of(6)
+    world.run(20)
+    world.store_up = False
+    world.run(4)
+    calls = calls_made(world, 10)
+    assert set(calls) <= {"KeepLease", "ReadBoxes"}
+    # A call fails after one second, and the next one comes half a second later.
+    assert sum(calls.values()) <= 6 * 10
+
+
+def test_records_that_lapsed_in_an_outage_are_back_two_seconds_after_it():
+    world = samples.world_of(6)
+    world.run(20)
+    world.store_up = False
+    world.lapse_leases()
+    world.run(5)
+    assert world.records == {}
+    world.store_up = True
+    world.run(2)
+    assert set(world.records) == set(world.boxes)
+
+
+def test_a_record_that_was_taken_away_is_written_again():
+    world = samples.world_of(3)
+    world.run(10)
+    world.records.clear()
+    world.run(8)
+    assert set(world.records) == set(world.boxes)
+
+
+def test_daemons_that_start_together_find_each_other_at_once():
+    world = samples.world_of(4, zones=2)
+    linked = [box.core.peers.linked() for box in world.boxes.values()]
+    assert all(linked)
+    assert all(len(box.core.peers.by_address) == 3 for box in world.boxes.values())
