Spread idle pings; a test of the doubted zone that is red without it

Cause: links that were made together were pinged together, and the test passed with the mechanism switched off, since such a burst fell into it (seen by switching it off). Change: each link's idle time is spread by a quarter either way; the test sets when each link was used last. Red with the mechanism off, green with it.

--- a/ferrydeck/mesh/peers.py
+++ b/ferrydeck/mesh/peers.py
@@ -70,6 +70,8 @@
     pinged: float = -1e9
     waiting_since: float = float("inf")
     """When the first message was sent that nothing was heard after."""
+    spread: float = 1.0
+    """What its idle time is multiplied by, so that pings do not go out together."""
     doubted: bool = False
     """Whether it was suspect when last looked at."""
     dial_at: float = 0.0
@@ -284,7 +286,8 @@
     def _peer(self, now: float, address: str) -> Peer:
         peer = self.by_address.get(address)
         if peer is None:
-            peer = Peer(address=address, dial_at=now)
+            spread = 0.75 + 0.5 * self.rt.rng.random()
+            peer = Peer(address=address, dial_at=now, spread=spread)
             self.by_address[address] = peer
             self.changed = True
         return peer
@@ -310,7 +313,7 @@
         if peer.suspect(now) and not peer.doubted:
             peer.doubted = True
             self._doubt_zone(now, peer.zone)
-        idle = now - peer.sent >= idle_s
+        idle = now - peer.sent >= idle_s * peer.spread
         waiting = silent_s >= PING_WAITING_S and peer.pinged < peer.waiting_since
         if idle or waiting:
             self._ping(now, peer)
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -469,6 +469,8 @@
     far = [box for box in world.boxes.values() if box.zone == "hall-1"]
     world.cut = lambda one, other: one.zone != other.zone
     own = world.boxes["box-0"].core.peers
+    for box in far:
+        own.by_address[box.address].sent = world.now
     own.by_address[far[0].address].waiting_since = world.now
     world.run(1.0)
     suspects = [own.by_address[box.address] for box in far]
