Lend shares of the retry budget; ask links that have requests out

Cause: test_requests_at_a_frozen_box failed on (17 of 20): a link on which a word came after the last sending was asked again only when idle, 1.25 s later and, at many daemons, later still, so its requests were moved too late. Change: a daemon whose share is spent asks eight others; a lender takes the loan off its own share first. A share is a fraction where there are many daemons. A link with requests out is asked 0.3 s after its last word. Ruled out: a share by load (never above the whole needs an agreement on the loads).

--- a/ferrydeck/mesh/budget.py
+++ b/ferrydeck/mesh/budget.py
@@ -19,6 +19,11 @@
 a box that is lost takes some requests of all others with it at once."""
 
 
+LEND_WHOLE = 2.0
+"""A share below this many repeats is lent whole: with many daemons each holds less
+than one repeat, and only what several hold together is of use."""
+
+
 class Repeat(enum.Enum):
     """Why a request is sent again."""
 
@@ -62,9 +67,24 @@
         self._tokens[key] -= 1.0
         return True
 
+    def lend(self, now: float, service: str, repeat: Repeat) -> float:
+        """Take half of what is held off this share, all of it where it is little."""
+        key = (service, repeat)
+        self._refill(now, key, 0.0)
+        held = self._tokens[key]
+        lent = held if held < LEND_WHOLE else held / 2
+        self._tokens[key] = held - lent
+        return lent
+
+    def receive(self, now: float, service: str, repeat: Repeat, tokens: float) -> None:
+        """Add what another daemon has taken off its share."""
+        key = (service, repeat)
+        self._refill(now, key, 0.0)
+        self._tokens[key] += tokens
+
     def _burst(self, repeat: Repeat) -> float:
-        """Return the most repeats that this daemon holds ready."""
-        return max(1.0, self.slack * SLACKS[repeat] / self.daemons)
+        """Return the most repeats that this daemon saves up, also less than one."""
+        return self.slack * SLACKS[repeat] / self.daemons
 
     def _refill(self, now: float, key: tuple[str, Repeat], tokens: float) -> None:
         burst = self._burst(key[1])
--- a/ferrydeck/mesh/calls.py
+++ b/ferrydeck/mesh/calls.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ferrydeck.mesh import events, peers, policy
+from ferrydeck.mesh import events, peers, policy, runtime
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -40,3 +40,21 @@
     def request_id(self) -> str:
         """The id that the caller gave."""
         return self.request.request_id
+
+    def note(
+        self, rt: runtime.Runtime, outcome: str, reason: str, **more: object
+    ) -> None:
+        """Have a decision about this request logged and counted."""
+        rt.note(
+            "request",
+            request_id=self.request_id,
+            outcome=outcome,
+            reason=reason,
+            route=self.route.name,
+            service=self.service,
+            version=self.policy_version,
+            peer=self.peer.box if self.peer is not None else "",
+            offered=self.offered,
+            hops=self.hops,
+            **more,
+        )
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -18,6 +18,7 @@
     peers,
     policy,
     registry,
+    repeats,
     runtime,
     servers,
 )
@@ -105,7 +106,7 @@
             peers=self.peers,
             chooser=choosing.Chooser(rt=rt, peers=self.peers, gate=self.gate),
             gate=self.gate,
-            budget=spending,
+            repeats=repeats.Repeats(rt=rt, peers=self.peers, budget=spending),
         )
         self.registry = registry.Registry(
             rt=rt,
@@ -203,6 +204,8 @@
                 self.origin.again(now, number)
             case origin.SilentTimer():
                 self.origin.look_for_silent(now)
+            case repeats.LoanTimer(number=number):
+                self.origin.loan_late(now, number)
             case gate.QueueTimer():
                 self.gate.look(now)
             case servers.ProbeTimer():
@@ -250,13 +253,16 @@
             case messages.Welcome():
                 self.peers.welcomed(now, peer, message)
                 self.gate.server.vouch(now, message.left)
-                self.origin.budget.see_daemons(1 + len(self.peers.by_address))
+                spending = self.origin.repeats.budget
+                spending.see_daemons(1 + len(self.peers.by_address))
                 self._heard_version(now, peer, message.gate.version)
             case messages.PolicyAsk():
                 if self.rt.policy is not None:
                     self.peers.send(now, peer, self._policy_to_give())
             case messages.PolicyGive(raw=raw):
                 self._given(now, raw, peer.box)
+            case messages.Loan():
+                self.origin.lent(now, message)
             case messages.BeatRelayed(number=number, taken=taken):
                 self._relayed(number, taken)
 
@@ -284,6 +290,8 @@
                     self._send_back(link, self._policy_to_give())
             case messages.PolicyGive(raw=raw):
                 self._given(now, raw, peer_link.box)
+            case messages.LoanAsk():
+                self._send_back(link, self.origin.repeats.lend(now, message))
             case messages.BeatRelay():
                 self._on_relay(now, link, message)
 
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-PROTOCOL = 2
+from ferrydeck.mesh import budget
+
+PROTOCOL = 3
 NO_LEVEL = -1.0
 """The level told to a client's request: nothing behind it is to be held back."""
 Fields = list[tuple[str, str]]
@@ -235,6 +237,21 @@
     taken: bool
 
 
+class LoanAsk(Message, tag=17):
+    """Asks for a part of the receiver's share of the retry budget."""
+
+    service: str
+    repeat: budget.Repeat
+
+
+class Loan(Message, tag=18):
+    """A part of the sender's share, which it has taken off its own."""
+
+    service: str
+    repeat: budget.Repeat
+    tokens: float
+
+
 Any = (
     GateState
     | Hello
@@ -252,6 +269,8 @@
     | Refused
     | BeatRelay
     | BeatRelayed
+    | LoanAsk
+    | Loan
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -5,7 +5,6 @@
 import attrs
 
 from ferrydeck.mesh import (
-    budget,
     calls,
     choosing,
     effects,
@@ -14,6 +13,7 @@
     messages,
     peers,
     policy,
+    repeats,
     runtime,
     splits,
 )
@@ -24,14 +24,10 @@
 HIGHER_WAIT_SHARE = 0.5
 """Part of its time that a request of a higher rank waits for a slot at most: it is
 to be shed later than those below it, and other work may hang on it."""
-HOPS = 5
-"""Gates that one request is shown to at most, those that refuse it included."""
 PAUSE_S = 0.03
 """Pause before a request is tried again for which no gate was open, seconds."""
 DEADLINE_SLACK_S = 0.02
 """How long before its deadline a request gets its final answer, seconds."""
-LEAST_RETRY_S = 0.03
-"""A request with less time left than this is not sent again, seconds."""
 RETRY_AFTER_S = 0.3
 """When a caller is told to come back where no gate said so, seconds."""
 STARTING_RETRY_S = 1.0
@@ -74,7 +70,7 @@
     peers: peers.Peers
     chooser: choosing.Chooser
     gate: gate.Gate
-    budget: budget.RetryBudget
+    repeats: repeats.Repeats
     splits: splits.Splits = attrs.Factory(splits.Splits)
     by_conn: dict[int, calls.Call] = attrs.Factory(dict)
     by_number: dict[int, calls.Call] = attrs.Factory(dict)
@@ -103,7 +99,7 @@
         call = self._call(now, request, route)
         self.by_conn[call.conn] = call
         self.by_number[call.number] = call
-        self.budget.fresh(now, call.service)
+        self.repeats.budget.fresh(now, call.service)
         self.rt.at(call.deadline - DEADLINE_SLACK_S, DeadlineTimer(number=call.number))
         self._try(now, call)
 
@@ -136,7 +132,7 @@
         self._told(now, peer, message)
         failed = message.status >= 500
         outlier = failed and self.chooser.outlier(now, peer, call.service)
-        if outlier and not message.more and self._may_repeat(now, call):
+        if outlier and not message.more and self.repeats.may_repeat(now, call):
             self._end_attempt(call)
             call.may_have_run = True
             self._try(now, call)
@@ -193,7 +189,7 @@
             self._elsewhere(now, call, message.reason, message.retry_after_s)
             return
         call.servers.add(self._address(peer))
-        if self._may_offer_again(now, call):
+        if self.repeats.may_offer_again(now, call):
             if len(call.servers) >= call.route.attempts:
                 call.tried = {self._address(peer)}
             self._try(now, call)
@@ -226,6 +222,17 @@
         if call is not None and not call.attempt:
             self._try(now, call)
 
+    def lent(self, now: float, loan: messages.Loan) -> None:
+        """Send the requests again that a loan pays for."""
+        for call in self.repeats.lent(now, loan):
+            self._try(now, call)
+
+    def loan_late(self, now: float, number: int) -> None:
+        """Give up a request that no loan came for."""
+        call = self.repeats.short.pop(number, None)
+        if call is not None:
+            self._give_up(now, call, MAYBE_RUN_STATUS, messages.Reason.BUDGET)
+
     def look_for_silent(self, now: float) -> None:
         """Send repeatable requests that are at silent boxes to other ones."""
         self.rt.at(now + SILENT_EVERY_S, SilentTimer())
@@ -238,11 +245,13 @@
                     self._move(now, call)
 
     def _move(self, now: float, call: calls.Call) -> None:
-        if not call.route.repeatable or not self._may_repeat(now, call):
+        if not self.repeats.may_repeat(now, call):
+            if call.route.repeatable:
+                self.repeats.ask(now, call.service)
             return
         self._withdraw(now, call)
         call.may_have_run = True
-        self._note(call, "moved", "silent")
+        call.note(self.rt, "moved", "silent")
         self._try(now, call)
 
     def _call(
@@ -273,7 +282,7 @@
 
     def _try(self, now: float, call: calls.Call) -> None:
         """Send the request to a gate."""
-        if call.deadline - now < LEAST_RETRY_S:
+        if call.deadline - now < repeats.LEAST_RETRY_S:
             self._no_time(now, call)
             return
         full = len(call.servers) >= call.route.attempts
@@ -370,14 +379,14 @@
     ) -> None:
         """Show a request that was not run to another gate, or refuse it."""
         final = reason == messages.Reason.PRESSURE
-        if not final and call.hops < HOPS and now < call.give_up_at:
+        if not final and call.hops < repeats.HOPS and now < call.give_up_at:
             self._try(now, call)
             return
         self._refuse(now, call, reason, retry_after_s)
 
     def _nobody(self, now: float, call: calls.Call, known: int) -> None:
         """Look again soon, as long as a refusal is still early."""
-        if now + PAUSE_S < call.give_up_at and call.hops < HOPS:
+        if now + PAUSE_S < call.give_up_at and call.hops < repeats.HOPS:
             call.tried.clear()
             self.rt.at(now + PAUSE_S, AgainTimer(number=call.number))
             return
@@ -397,36 +406,15 @@
             self.rt.emit(effects.Abort(conn=call.conn))
             self._finish(now, call, "aborted", reason)
             return
-        if self._may_repeat(now, call):
+        if self.repeats.may_repeat(now, call):
             self._try(now, call)
             return
-        self._give_up(now, call, MAYBE_RUN_STATUS, reason)
+        if not self.repeats.waits_for_loan(now, call):
+            self._give_up(now, call, MAYBE_RUN_STATUS, reason)
 
     def _address(self, peer: peers.Peer | None) -> str:
         return self.rt.identity.address if peer is None else peer.address
 
-    def _may_repeat(self, now: float, call: calls.Call) -> bool:
-        """Tell whether a request may run at another server, and pay for it."""
-        if not call.route.repeatable or call.offered >= call.route.attempts:
-            return False
-        return self._pays(now, call, budget.Repeat.MAY_HAVE_RUN)
-
-    def _may_offer_again(self, now: float, call: calls.Call) -> bool:
-        """Tell whether a request that a server did not run may be offered again.
-
-        Once as many servers were asked as the route allows, it goes to these again.
-        """
-        return self._pays(now, call, budget.Repeat.NOT_RUN)
-
-    def _pays(self, now: float, call: calls.Call, repeat: budget.Repeat) -> bool:
-        if call.hops >= HOPS or call.deadline - now < LEAST_RETRY_S:
-            return False
-        if not self.budget.may_spend(now, call.service, repeat):
-            self._note(call, "not-repeated", messages.Reason.BUDGET)
-            return False
-        self._note(call, "repeated", "")
-        return True
-
     def _refuse(
         self, now: float, call: calls.Call, reason: str, retry_after_s: float
     ) -> None:
@@ -477,26 +465,10 @@
     def _finish(self, now: float, call: calls.Call, outcome: str, reason: str) -> None:
         self.by_conn.pop(call.conn, None)
         self.by_number.pop(call.number, None)
-        self._note(call, outcome, reason, ms=round(1000 * (now - call.started), 1))
+        self.repeats.short.pop(call.number, None)
+        call.note(self.rt, outcome, reason, ms=round(1000 * (now - call.started), 1))
         self.rt.emit(
             effects.Finished(
                 route=call.route.name, outcome=outcome, seconds=now - call.started
             )
         )
-
-    def _note(
-        self, call: calls.Call, outcome: str, reason: str, **more: object
-    ) -> None:
-        self.rt.note(
-            "request",
-            request_id=call.request_id,
-            outcome=outcome,
-            reason=reason,
-            route=call.route.name,
-            service=call.service,
-            version=call.policy_version,
-            peer=call.peer.box if call.peer is not None else "",
-            offered=call.offered,
-            hops=call.hops,
-            **more,
-        )
--- a/ferrydeck/mesh/peers.py
+++ b/ferrydeck/mesh/peers.py
@@ -17,8 +17,12 @@
 PINGS_PER_S = 15.0
 """Pings of idle links that a daemon sends at most, a second: with many daemons idle
 links are asked less often, so that the cost of a daemon does not grow with them."""
-PING_WAITING_S = 0.1
-"""A link on which an answer is waited for this long gets a ping, seconds."""
+PING_WAITING_S = 0.15
+"""A link on which nothing came for this long after something was sent gets a ping,
+seconds: most answers of the users' sheets take longer, so one ping a request."""
+PING_OUT_S = 0.3
+"""A link with requests out on which nothing came for this long gets a ping, seconds:
+they are moved elsewhere 0.6 s after it, if it stays silent."""
 SUSPECT_S = 0.35
 """No word for this long after something was sent makes a box suspect, seconds:
 three ticks and the pause of a busy loop."""
@@ -315,7 +319,8 @@
             self._doubt_zone(now, peer.zone)
         idle = now - peer.sent >= idle_s * peer.spread
         waiting = silent_s >= PING_WAITING_S and peer.pinged < peer.waiting_since
-        if idle or waiting:
+        quiet = now - max(peer.heard, peer.sent) >= PING_OUT_S
+        if idle or waiting or (quiet and peer.out):
             self._ping(now, peer)
 
     def _doubt_zone(self, now: float, zone: str) -> None:
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -41,3 +41,28 @@
     shared.see_daemons(15)
     shared.see_daemons(3)
     assert shared.daemons == 15
+
+
+def test_what_is_lent_is_taken_off_the_lenders_share():
+    one = budget.RetryBudget(ratio=0.2, slack=48, window_s=10, daemons=15)
+    other = budget.RetryBudget(ratio=0.2, slack=48, window_s=10, daemons=15)
+    repeat = budget.Repeat.MAY_HAVE_RUN
+    lent = one.lend(0.0, "desk", repeat)
+    assert lent > 0
+    assert not one.may_spend(0.0, "desk", repeat)
+    other.receive(0.0, "desk", repeat, lent)
+    assert spend_all(other, 0.0) <= 2 * 48 * 0.75 / 15
+
+
+def test_many_daemons_hold_no_more_than_the_slack_together():
+    daemons = [
+        budget.RetryBudget(ratio=0.2, slack=48, window_s=10, daemons=100)
+        for _ in range(100)
+    ]
+    repeat = budget.Repeat.MAY_HAVE_RUN
+    for shared in daemons:
+        for step in range(100):
+            shared.fresh(step * 0.1, "desk")
+    lent = sum(shared.lend(10.0, "desk", repeat) for shared in daemons)
+    lent += sum(shared.lend(10.0, "desk", budget.Repeat.NOT_RUN) for shared in daemons)
+    assert lent <= 48
