Learn when a server forgets resting connections; longer times to come back

Change: a request lost at once on a rested connection shortens the rest of all for ten seconds; the time to come back grows with the share turned away, up to two seconds; changes of the policy are gathered for 0.4 s.

--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -42,11 +42,13 @@
 QUEUE_MOST = 4
 """Requests that wait at most, as a multiple of the slots."""
 RETRY_AFTER_LEAST_S = 0.05
-RETRY_AFTER_MOST_S = 1.0
+RETRY_AFTER_MOST_S = 2.0
 """Bounds of the time after which a refused caller is told to come back, seconds."""
 PRESSURE_RETRY_S = 0.5
+PRESSURE_RETRY_MORE_S = 1.5
 """When a request is told to come back that was turned away because of failures
-behind the server, seconds: two windows of the control."""
+behind the server, seconds: two windows of the control, and more the more is turned
+away; a share near its highest takes that long to fall by half."""
 STALL_S = 1.0
 """A server that holds requests and has answered nothing for this long, and whose
 last report is older than two intervals, takes no new work, seconds."""
@@ -433,18 +435,20 @@
         refused = messages.Refused(
             number=job.forward.number,
             reason=reason,
-            retry_after_s=self._retry_after_s(reason),
+            retry_after_s=self._retry_after_s(now, reason, job),
             offered=offered,
             load=self.load(now),
             level=self.level(now, job.forward),
         )
         self.reply(now, job, refused)
 
-    def _retry_after_s(self, reason: messages.Reason) -> float:
+    def _retry_after_s(self, now: float, reason: messages.Reason, job: Job) -> float:
         """Return when there will be room again, spread so that callers are too."""
         clear_s = (len(self.waiting) + 1) * self.hold_s / self.limit
         if reason is messages.Reason.PRESSURE:
-            clear_s = PRESSURE_RETRY_S
+            share = self.controls.route(job.forward.route).share
+            share = max(share, self._behind(now, job.forward))
+            clear_s = PRESSURE_RETRY_S + PRESSURE_RETRY_MORE_S * share
         spread = 0.75 + 0.5 * self.rt.rng.random()
         return min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, clear_s * spread))
 
--- a/ferrydeck/mesh/registry.py
+++ b/ferrydeck/mesh/registry.py
@@ -32,9 +32,9 @@
 a word hears nothing for that long; the other daemons tell sooner."""
 WATCHERS = 4
 """Daemons of a data centre that watch the policy; the others hear of it on links."""
-GATHER_S = 0.1
+GATHER_S = 0.4
 """Pause before the policy is asked for anew after a change, seconds: changes that come
-together then cost one call."""
+together then cost one call. The users want a change in force within two seconds."""
 WATCH_AFTER_S = 1.0
 """From the start until a daemon with a policy may watch, seconds: its links, which
 show how many others do, take less."""
--- a/ferrydeck/net/server_client.py
+++ b/ferrydeck/net/server_client.py
@@ -18,6 +18,13 @@
 """How long a connection may rest and be used again where the server tells no time."""
 REST_SHARE = 0.7
 """Part of the told time after which a resting connection isn't used again."""
+FORGOTTEN_S = 0.05
+"""A request on a rested connection that is lost this soon, with no byte of an answer,
+shows that the server had forgotten the connection, seconds."""
+FORGOTTEN_SHARE = 0.7
+"""Part of the rest that a connection did not survive after which others aren't used."""
+RELEARN_S = 10.0
+"""How long what was learned of forgotten connections holds, seconds."""
 LATE_SLACK_S = 0.1
 """How much later than its time a server's answer is still waited for, seconds."""
 KEEP_ALIVE = "keep-alive"
@@ -78,6 +85,10 @@
     credit: int = 0
     rest_until: float = 0.0
     rest_s: float = REST_S
+    rested_at: float = 0.0
+    rested_s: float = 0.0
+    """How long it had rested before the request in hand; 0 for a new connection."""
+    taken_at: float = 0.0
 
 
 class ServerClient(sockets.SocketComponent):
@@ -96,6 +107,9 @@
         self.resting: list[ServerConn] = []
         self.by_ticket: dict[int, ServerConn] = {}
         self.opened = 0
+        self._survives_s = float("inf")
+        """Rest after which connections were lately found forgotten."""
+        self._learned_at = 0.0
 
     def request(
         self,
@@ -182,6 +196,7 @@
         if not conn.ticket:
             return
         if conn.read_error or conn.reader is None or not conn.reader.ended():
+            self._learn_forgotten(conn)
             self._tell_lost(conn, "connection ended", refused=not conn.connected)
             return
         if conn.foreign:
@@ -309,19 +324,32 @@
             return
         told = rest_s(conn.fields)
         conn.rest_s = told * REST_SHARE if told is not None else conn.rest_s
-        conn.rest_until = time.monotonic() + conn.rest_s
+        conn.rested_at = time.monotonic()
+        conn.rest_until = conn.rested_at + conn.rest_s
         self.resume_reading(conn)
         self.resting.append(conn)
 
     def _rested(self, now: float) -> ServerConn | None:
         """Return the connection that rested least, if it may be used again."""
+        if now - self._learned_at > RELEARN_S:
+            self._survives_s = float("inf")
         while self.resting:
             conn = self.resting.pop()
-            if now < conn.rest_until:
+            conn.rested_s = now - conn.rested_at
+            if now < conn.rest_until and conn.rested_s < self._survives_s:
                 return conn
             self.shut(conn)
         return None
 
+    def _learn_forgotten(self, conn: ServerConn) -> None:
+        """Note a connection that the server had forgotten while it rested."""
+        now = time.monotonic()
+        answered = conn.head is not None or conn.inbuf
+        if not conn.rested_s or answered or now - conn.taken_at > FORGOTTEN_S:
+            return
+        self._survives_s = min(self._survives_s, FORGOTTEN_SHARE * conn.rested_s)
+        self._learned_at = now
+
     def _take(
         self,
         conn: ServerConn,
@@ -330,6 +358,7 @@
         deadline: float,
     ) -> None:
         conn.ticket = ticket
+        conn.taken_at = time.monotonic()
         conn.wanted = wanted
         conn.deadline = deadline
         conn.head = None
