Spend small shares of the retry budget by lot; a soak of real processes

Change: a share that can't grow to one is drawn for, and a lost draw spends it, so that the daemons together spend what they hold. Also tests/soak: daemons, servers and a store as processes behind loopback proxies, with faults from a seed and the promises checked from what callers and servers saw; the address that a daemon tells others is a setting, so that a proxy can stand before it.

--- a/ferrydeck/config/mesh_settings.py
+++ b/ferrydeck/config/mesh_settings.py
@@ -52,6 +52,8 @@
     """The platform's store."""
     link_port: int = options.option(settings.PORT)
     """Port for other daemons, the same on all boxes."""
+    link_advertised: str = options.option(ADDRESS, default="")
+    """Where other daemons reach its links; where it listens if nothing is said."""
     metrics_port: int = options.option(settings.PORT)
     seeds: tuple[str, ...] = options.option(options.Items(item=ADDRESS), default=())
     """Addresses of other boxes; only their IP numbers are used."""
@@ -62,6 +64,11 @@
     report_interval: str = options.option(FREE_TEXT, default="")
     log: LogLimits = options.option(options.Section(cls=LogLimits), default=LogLimits())
 
+    @property
+    def link_address(self) -> str:
+        """Where other daemons reach the links of this one."""
+        return self.link_advertised or f"{self.ip}:{self.link_port}"
+
     @property
     def seed_links(self) -> tuple[str, ...]:
         """Where the daemons of the seeds take links: ports are alike on all boxes."""
--- a/ferrydeck/mesh/budget.py
+++ b/ferrydeck/mesh/budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import random
 
 import attrs
 
@@ -44,6 +45,7 @@
     slack: float
     """Agreed repeats in a window without any request, over all daemons."""
     window_s: float
+    rng: random.Random
     daemons: int = 1
     """How many daemons share the slack; never less than were ever seen."""
     _tokens: dict[tuple[str, Repeat], float] = attrs.Factory(dict)
@@ -62,10 +64,16 @@
         """Take one repeat from the budget of a service, if there is one left."""
         key = (service, repeat)
         self._refill(now, key, 0.0)
-        if self._tokens[key] < 1.0:
+        held = self._tokens[key]
+        if held >= 1.0:
+            self._tokens[key] = held - 1.0
+            return True
+        if self._burst(repeat) >= 1.0:
             return False
-        self._tokens[key] -= 1.0
-        return True
+        # A share that can't grow to one repeat is drawn for, so that all daemons
+        # together spend what they hold; a lost draw spends it as well.
+        self._tokens[key] = 0.0
+        return self.rng.random() < held
 
     def lend(self, now: float, service: str, repeat: Repeat) -> float:
         """Take half of what is held off this share, all of it where it is little."""
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -100,6 +100,7 @@
             ratio=self.terms.retry_ratio,
             slack=self.terms.retry_slack,
             window_s=self.terms.retry_window_s,
+            rng=self.rng,
         )
         self.origin = origin.Origin(
             rt=rt,
--- a/ferrydeck/meshd.py
+++ b/ferrydeck/meshd.py
@@ -36,7 +36,7 @@
         identity=runtime.Identity(
             box=cfg.box,
             incarnation=incarnation,
-            address=f"{cfg.ip}:{cfg.link_port}",
+            address=cfg.link_address,
             zone=cfg.data_centre,
             service=cfg.service,
             server_address=cfg.target,
--- a/ferrydeck/standins/app_server.py
+++ b/ferrydeck/standins/app_server.py
@@ -4,6 +4,7 @@
 
 import enum
 import http.client
+import json
 import time
 
 import attrs
@@ -106,18 +107,24 @@
             self._answer(req, 503, fields, b"", not_run=True)
             return
         self.at_work += 1
-        self.ran.append(
-            Ran(
-                request_id=fields.get("x-attempt-id", ""),
-                caller=fields.get("x-caller-service", ""),
-                deadline_ms=int(fields.get("x-deadline-ms", "0")),
-                method=req.method,
-                path=req.path,
-                body=req.body,
-            )
+        ran = Ran(
+            request_id=fields.get("x-attempt-id", ""),
+            caller=fields.get("x-caller-service", ""),
+            deadline_ms=int(fields.get("x-deadline-ms", "0")),
+            method=req.method,
+            path=req.path,
+            body=req.body,
         )
+        self.ran.append(ran)
+        self._write_down(ran)
         self.after(self.work_s, lambda: self._finish(req, fields))
 
+    def _write_down(self, ran: Ran) -> None:
+        """Write a run to standard output, where it outlives this process."""
+        line = {"ran": ran.request_id, "instance": self.instance}
+        line["at"] = time.monotonic()
+        print(json.dumps(line), flush=True)
+
     def _finish(self, req: loop.Asked, fields: dict[str, str]) -> None:
         self.at_work -= 1
         body = f"{self.service} {req.method} {req.path} ".encode() + req.body
--- a/tests/platform/mesh_fleet.py
+++ b/tests/platform/mesh_fleet.py
@@ -68,8 +68,10 @@
     ip: str
     ports: dict[str, int]
     settings: pathlib.Path
+    work_ms: float
+    slots: int
     daemon: fleet.Process
-    server: fleet.Process
+    server: fleet.Process | None = None
 
     def address(self, endpoint: str) -> str:
         return f"{self.ip}:{self.ports[endpoint]}"
@@ -137,45 +139,65 @@
     def use(self, table: dict[str, object]) -> None:
         self.control("policy", json.dumps(table).encode())
 
-    def add_box(self, *, work_ms: float = 2.0, slots: int = 8) -> MeshBox:
+    def add_box(
+        self,
+        *,
+        work_ms: float = 2.0,
+        slots: int = 8,
+        store: str = "",
+        link_advertised: str = "",
+    ) -> MeshBox:
         number = len(self.boxes) + 1
         ip = f"127.0.0.{number}"
         ports = {name: fleet.free_port() for name in ENDPOINTS} | self.shared
         settings = self.folder / f"box-{number}.toml"
-        settings.write_text(self.settings(number, ip, ports))
+        text = self.settings(number, ip, ports, store, link_advertised)
+        settings.write_text(text)
         box = MeshBox(
             name=f"box-{number}",
             ip=ip,
             ports=ports,
             settings=settings,
+            work_ms=work_ms,
+            slots=slots,
             daemon=self.start_daemon(number, settings),
-            server=self.spawn(
-                f"server-{number}",
-                "ferrydeck.standins.main",
-                "server",
-                "--ip",
-                ip,
-                "--port",
-                str(ports["target"]),
-                "--service",
-                "desk",
-                "--reports",
-                f"{ip}:{ports['reports']}",
-                "--work-ms",
-                str(work_ms),
-                "--slots",
-                str(slots),
-            ),
         )
+        box.server = self.start_server(box)
         self.boxes.append(box)
         return box
 
+    def start_server(self, box: MeshBox) -> fleet.Process:
+        return self.spawn(
+            f"server-{box.name}",
+            "ferrydeck.standins.main",
+            "server",
+            "--ip",
+            box.ip,
+            "--port",
+            str(box.ports["target"]),
+            "--service",
+            "desk",
+            "--reports",
+            f"{box.ip}:{box.ports['reports']}",
+            "--work-ms",
+            str(box.work_ms),
+            "--slots",
+            str(box.slots),
+        )
+
     def start_daemon(self, number: int, settings: pathlib.Path) -> fleet.Process:
         return self.spawn(
             f"daemon-{number}", "ferrydeck.meshd", "--settings", str(settings)
         )
 
-    def settings(self, number: int, ip: str, ports: dict[str, int]) -> str:
+    def settings(
+        self,
+        number: int,
+        ip: str,
+        ports: dict[str, int],
+        store: str,
+        link_advertised: str,
+    ) -> str:
         lines = [f'{name} = "{ip}:{ports[name]}"' for name in ENDPOINTS]
         lines += [
             f'box = "box-{number}"',
@@ -183,9 +205,10 @@
             'region = "north"',
             f'ip = "{ip}"',
             'service = "desk"',
-            f'store = "{fleet.IP}:{self.store_port}"',
+            f'store = "{store or f"{fleet.IP}:{self.store_port}"}"',
             f"link_port = {ports['link']}",
             f"metrics_port = {ports['metrics']}",
+            *([f'link_advertised = "{link_advertised}"'] if link_advertised else []),
             "[log]",
             "served_per_s = 1000",
             "[terms]",
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,135 @@
+"""Real daemons under random faults: `python -m tests.soak.soak --seeds 1-50`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import random
+import tempfile
+import time
+
+import attrs
+
+from ferrydeck.standins import fleet as processes
+from tests.platform import mesh_fleet
+from tests.soak import checks, clients, proxy, schedule
+
+CALM_S = 4.0
+"""From the last fault until all must be well again, seconds."""
+LAST_S = 2.0
+"""How long it must be well, seconds."""
+CALLERS = 3
+
+
+@attrs.define(kw_only=True)
+class Played:
+    """What one seed brought."""
+
+    seed: int
+    broken: list[str]
+    sent: int
+    served: int
+    schedule: list[str]
+
+
+async def prepare(fleet: mesh_fleet.MeshFleet, boxes: int) -> list[schedule.Place]:
+    """Start boxes behind proxies and wait until they serve."""
+    fleet.use(mesh_fleet.manifest(4))
+    places = []
+    for number in range(1, boxes + 1):
+        ip = f"127.0.0.{number}"
+        links = proxy.Proxy(target=(ip, fleet.shared["link"]))
+        await links.start(ip, processes.free_port())
+        to_store = proxy.Proxy(target=(processes.IP, fleet.store_port))
+        await to_store.start(ip, processes.free_port())
+        box = fleet.add_box(
+            work_ms=20, store=to_store.address, link_advertised=links.address
+        )
+        places.append(schedule.Place(box=box, links=links, store=to_store))
+    await asyncio.to_thread(fleet.wait_linked)
+    return places
+
+
+async def play_in(
+    folder: pathlib.Path, seed: int, boxes: int, seconds: float
+) -> Played:
+    """Play one seed with its files in a folder."""
+    fleet = mesh_fleet.MeshFleet(folder)
+    try:
+        places = await prepare(fleet, boxes)
+        callers = [
+            clients.Caller(
+                name=f"{seed}-{place.box.name}-{number}",
+                box=place.box.name,
+                address=(place.box.ip, place.box.ports["calls"]),
+            )
+            for place in places
+            for number in range(CALLERS)
+        ]
+        running = [asyncio.ensure_future(one.run()) for one in callers]
+        plan = schedule.Schedule(rng=random.Random(seed), fleet=fleet, places=places)
+        await plan.play(seconds)
+        await asyncio.sleep(CALM_S)
+        calm_from = time.monotonic()
+        await asyncio.sleep(LAST_S)
+        for one in callers:
+            one.stopping = True
+        await asyncio.gather(*running)
+        for place in places:
+            await place.links.close()
+            await place.store.close()
+    finally:
+        fleet.close()
+    history = checks.History(
+        sent=[one for caller in callers for one in caller.sent],
+        runs=checks.runs_of(fleet),
+        acked_leaving=plan.acked_leaving,
+        calm_from=calm_from,
+        troubled=plan.troubled,
+        logs={
+            f"{one.name} {one.log.name}": checks.whole_lines(one.log)
+            for one in fleet.processes
+            if one.name.startswith("daemon-")
+        },
+        version=plan.version,
+        exit_codes=plan.exit_codes,
+    )
+    return Played(
+        seed=seed,
+        broken=checks.broken(history) + fleet.faults_logged(),
+        sent=len(history.sent),
+        served=sum(one.status == 200 for one in history.sent),
+        schedule=plan.told,
+    )
+
+
+def play(folder: pathlib.Path, seed: int, *, boxes: int, seconds: float) -> Played:
+    """Play one seed."""
+    return asyncio.run(play_in(folder, seed, boxes, seconds))
+
+
+def main() -> int:
+    """Play a range of seeds; return 1 if any broke a promise."""
+    parser = argparse.ArgumentParser(description="Random faults on real processes.")
+    parser.add_argument("--seeds", default="1-50", help="FIRST-LAST")
+    parser.add_argument("--boxes", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
+    args = parser.parse_args()
+    first, _, last = args.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        keep = args.keep or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        folder = keep / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        played = play(folder, seed, boxes=args.boxes, seconds=args.seconds)
+        failed += bool(played.broken)
+        print(f"seed {seed}: {played.served} of {played.sent} served", flush=True)
+        for line in played.broken[:10] + played.schedule * bool(played.broken):
+            print(f"  {line}", flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
