Fill shares of the retry budget slower without requests; seeds in its tests

Change: a share fills in four windows without requests, each daemon of a test has a seed of its own, the bound of the test by lot is three standard deviations. tests/mesh passes.

--- a/ferrydeck/mesh/budget.py
+++ b/ferrydeck/mesh/budget.py
@@ -20,6 +20,9 @@
 a box that is lost takes some requests of all others with it at once."""
 
 
+DRIP_WINDOWS = 4.0
+"""Windows over which a share fills up again without any request: what is held at the
+begin of a window and what drips into it stay within the slack together."""
 LEND_WHOLE = 2.0
 """A share below this many repeats is lent whole: with many daemons each holds less
 than one repeat, and only what several hold together is of use."""
@@ -101,6 +104,6 @@
         if last is None:
             self._tokens[key] = burst
             return
-        drip = (now - last) * burst / (2 * self.window_s)
+        drip = (now - last) * burst / (DRIP_WINDOWS * self.window_s)
         held = self._tokens[key]
         self._tokens[key] = max(held, min(burst, held + drip + tokens))
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -20,7 +20,7 @@
 
 
 def test_fifteen_daemons_stay_within_ratio_and_slack_together():
-    daemons = [made(15) for _ in range(15)]
+    daemons = [made(15, seed) for seed in range(15)]
     spent = requests = 0
     for step in range(1000):
         for shared in daemons:
@@ -31,7 +31,7 @@
 
 
 def test_without_requests_only_the_slack_is_spent():
-    daemons = [made(15) for _ in range(15)]
+    daemons = [made(15, seed) for seed in range(15)]
     spent = sum(
         spend_all(shared, step * 0.1) for step in range(100) for shared in daemons
     )
@@ -77,4 +77,5 @@
             requests += 1
             spent += shared.may_spend(step * 0.1, "desk", repeat)
     whole = 0.2 * budget.NOT_RUN_SHARE * requests
-    assert 0.5 * whole < spent <= whole + 48
+    # By lot: a tenth is three standard deviations and the slack.
+    assert 0.9 * whole < spent < 1.1 * whole
