Avoid a failing server only where another one fails less than half as often

Change: no penalty unless another server fails less than half as often, the rule that repeats go by as well. Test: test_servers_that_all_fail_get_requests_alike, red before.

--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -62,6 +62,7 @@
     peers: peers.Peers
     gate: gate.Gate
     _fastest_ms: int = 0
+    _least_failed: float = 0.0
     _by_service: dict[str, list[peers.Peer]] = attrs.Factory(dict)
 
     def choose(
@@ -74,6 +75,7 @@
         """Return the gate for a request, not one of `tried`, and one of `only`."""
         candidates = self._candidates(service)
         self._fastest_ms = self._fastest(service, candidates)
+        self._least_failed = self._fewest_failures(now, service, candidates)
         best: Choice = Nobody(known=len(candidates))
         best_score = float("inf")
         own = self.rt.identity
@@ -105,10 +107,8 @@
         """
         own = self.gate.health.failed(now)
         failed = own if peer is None else peer.failed(now)
-        others = [one.failed(now) for one in self._candidates(service) if one.open]
-        if self.rt.identity.service == service:
-            others.append(own)
-        return min(others, default=failed) < OUTLIER_SHARE * failed
+        least = self._fewest_failures(now, service, self._candidates(service))
+        return least < OUTLIER_SHARE * failed
 
     def _own_score(self, now: float) -> float:
         score = self.gate.busy / self.gate.limit
@@ -137,13 +137,29 @@
             paces.append(self.gate.pace_ms)
         return min(paces, default=0)
 
+    def _fewest_failures(
+        self, now: float, service: str, candidates: list[peers.Peer]
+    ) -> float:
+        """Return the share of failures of the server that fails least."""
+        shares = [one.failed(now) for one in candidates if one.open]
+        if self.rt.identity.service == service:
+            shares.append(self.gate.health.failed(now))
+        return min(shares, default=0.0)
+
     def _pace_penalty(self, pace_ms: int) -> float:
         if not pace_ms or not self._fastest_ms:
             return 0.0
         return min(PACE_MOST, PACE_PENALTY * (pace_ms / self._fastest_ms - 1.0))
 
     def _failed_penalty(self, failed: float) -> float:
-        if failed < FAILED_LEAST or self.rt.rng.random() < FAILED_PROBE:
+        """Return what a server adds that fails more often than another one.
+
+        All daemons are told the same shares: where all servers fail alike, as they do
+        when the cause lies behind them, small differences would send all requests of
+        a service to one of them.
+        """
+        alike = self._least_failed >= OUTLIER_SHARE * failed
+        if failed < FAILED_LEAST or alike or self.rt.rng.random() < FAILED_PROBE:
             return 0.0
         return FAILED_PENALTY * failed
 
--- a/ferrydeck/mesh/health.py
+++ b/ferrydeck/mesh/health.py
@@ -13,6 +13,8 @@
 
 def faded(share: float, age_s: float) -> float:
     """Return what a share of failed requests counts after some time."""
+    if not share:
+        return 0.0
     return share * 0.5 ** (max(0.0, age_s) / HALF_S)
 
 
--- a/tests/mesh/test_health.py
+++ b/tests/mesh/test_health.py
@@ -35,3 +35,17 @@
     world.run(1)
     at_failing = [o for o in world.runs if o.request_id in ids and o.box == "box-1"]
     assert len(at_failing) <= 3
+
+
+def test_servers_that_all_fail_get_requests_alike():
+    world = samples.world_of(4, slots=30)
+    world.run(1)
+    chooser = world.boxes["box-0"].core.origin.chooser
+    others = list(world.boxes["box-0"].core.peers.by_address.values())
+    for peer, share in zip(others, (0.3, 0.4, 0.5), strict=True):
+        peer.told_failed, peer.told_at = share, world.now
+    for _ in range(4):
+        world.boxes["box-0"].core.gate.health.ended(world.now, failed=True)
+    own = {world.boxes["box-0"].address}
+    chosen = [chooser.choose(world.now, "desk", own).peer.box for _ in range(300)]
+    assert min(chosen.count(peer.box) for peer in others) > 60
