Test long answers, a slow reader and a body that stops midway

All three hold at first: 3 MB come whole from both boxes, also at 4 KB of receive buffer; half a body gets 408 after the head's time and runs at no server. The stand-in server pads an answer to a size in the query.

--- a/ferrydeck/standins/app_server.py
+++ b/ferrydeck/standins/app_server.py
@@ -128,6 +128,7 @@
     def _finish(self, req: loop.Asked, fields: dict[str, str]) -> None:
         self.at_work -= 1
         body = f"{self.service} {req.method} {req.path} ".encode() + req.body
+        body = body.ljust(int(req.query.get("size", "0")), b".")
         match self.mood:
             case Mood.CUT:
                 self.abort(req.call)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -13,6 +13,9 @@
 from ferrydeck.standins import fleet
 from tests.platform import mesh_fleet
 
+LONG = 3_000_000
+"""Length of a long answer, bytes: far over what is handed on whole."""
+
 
 @pytest.fixture
 def mesh(tmp_path):
@@ -256,6 +259,49 @@
         assert conn.recv(65536).startswith(b"HTTP/1.1 408")
 
 
+def test_a_long_answer_comes_whole_also_to_a_slow_reader(mesh):
+    first, second = two_boxes(mesh)
+    for number in range(4):
+        for box in (first, second):
+            answer = box.call(f"/look/1?size={LONG}", f"long-{box.name}-{number}")
+            assert (answer.status, len(answer.body)) == (200, LONG)
+    host, port = first.address("calls").split(":")
+    with socket.socket() as conn:
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        conn.settimeout(10)
+        conn.connect((host, int(port)))
+        conn.sendall(
+            b"GET /look/1?size=%d HTTP/1.1\r\nHost: calls.example\r\n"
+            b"X-Attempt-Id: slow\r\nX-Deadline-Ms: 9000\r\n"
+            b"Connection: close\r\n\r\n" % LONG
+        )
+        data = conn.recv(1000)
+        for _ in range(10):
+            data += conn.recv(1000)
+            select.select([], [], [], 0.05)
+        while part := conn.recv(65536):
+            data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert len(body) == LONG
+
+
+def test_a_body_that_stops_midway_is_refused_and_runs_nowhere(mesh):
+    limits = {"header_timeout": "500ms", "idle_timeout": "20s"}
+    mesh.use(mesh_fleet.manifest(4) | {"limits": limits})
+    boxes = [mesh.add_box() for _ in range(2)]
+    mesh.wait_linked()
+    host, port = boxes[0].address("calls").split(":")
+    with socket.create_connection((host, int(port)), timeout=10) as conn:
+        conn.sendall(
+            b"POST /pay/1 HTTP/1.1\r\nHost: calls.example\r\nX-Attempt-Id: half\r\n"
+            b"X-Deadline-Ms: 5000\r\nContent-Length: 10\r\n\r\n12"
+        )
+        assert conn.recv(65536).startswith(b"HTTP/1.1 408")
+        assert conn.recv(65536) == b""
+    assert not [one for box in boxes for one in box.ran() if one == "half"]
+
+
 def rested(conn: socket.socket, seconds: float) -> bool:
     """Wait that nothing comes on a connection for some time."""
     readable, _, _ = select.select([conn], [], [], seconds)
