--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import socket
 import struct
 
 import attrs
@@ -59,8 +60,9 @@
         """Reset all connections."""
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(1, 13, RESET_ON_CLOSE)
+            # One that has ended meanwhile has no descriptor any more.
+            if sock is not None and sock.fileno() >= 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
 
     async def close(self) -> None:
