Price slot time and let requests in by what their calls cost

Its gates asked callers to hold back by the longest wait of anything in the queue, at the same share for all, so browses (four calls of 0.03 s) were refused for what views (one of 0.48 s) held. Change: mesh/pricing: a gate that is offered more slot time than it has sets a price; answers tell the price of a run with its calls; the gate that lets a request in turns a share away that follows the price of the route. mesh/lineage: a call belongs to the run that ends when it does, so ranks and prices go up the right way; least squares (callgraph) is gone. The queue's stride counts slot time. Requests wait as long as their forecast end is of use, not a quarter or half of a target. A refused caller is told a time at which an answer is still in time.

--- a/ferrydeck/mesh/calls.py
+++ b/ferrydeck/mesh/calls.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ferrydeck.mesh import events, peers, policy, runtime
+from ferrydeck.mesh import events, gate, peers, policy, runtime
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -19,7 +19,9 @@
     started: float
     deadline: float
     give_up_at: float
-    """Until when a gate is looked for before the caller is refused."""
+    """By when it is to be served to be of use; until then a gate is looked for."""
+    late_at: float
+    """From when an answer is late, counted from the caller's first try."""
     tried: set[str] = attrs.Factory(set)
     servers: set[str] = attrs.Factory(set)
     """Gates whose servers were asked: no more than the route's attempts."""
@@ -33,8 +35,14 @@
     may_have_run: bool = False
     streaming: bool = False
     policy_version: int = 0
+    priority: int = 0
+    """Rank in the order of shedding: its route's, or that of the run it is made for."""
     lowest: bool = False
-    """Whether its rank is the one that is shed first."""
+    """Whether it is a caller's own request of the rank that is shed first."""
+    parent: gate.Job | None = None
+    """The run at this box's server that it is a call of."""
+    came_back: bool = False
+    """Whether its caller was told before to come back later."""
 
     @property
     def request_id(self) -> str:
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -13,12 +13,13 @@
 import attrs
 
 from ferrydeck.mesh import (
-    callgraph,
     effects,
     events,
     health,
+    lineage,
     messages,
     pressure,
+    pricing,
     queueing,
     runtime,
     servers,
@@ -37,23 +38,24 @@
 """What a request is taken to hold a slot for until one has ended, seconds."""
 HELD_LEAST = 20
 """Requests that a server has held before others are told how long it takes."""
-HOLD_WEIGHT = 0.05
-"""Weight of the newest holding time in the running mean."""
 QUEUE_MOST = 4
 """Requests that wait at most, as a multiple of the slots."""
 RETRY_AFTER_LEAST_S = 0.05
 RETRY_AFTER_MOST_S = 2.0
 """Bounds of the time after which a refused caller is told to come back, seconds."""
 PRESSURE_RETRY_S = 0.5
-PRESSURE_RETRY_MORE_S = 1.5
-"""When a request is told to come back that was turned away because of failures
-behind the server, seconds: two windows of the control, and more the more is turned
-away; a share near its highest takes that long to fall by half."""
+"""When a request is told to come back at the earliest that was held back for what is
+short of room, seconds: two windows of the control."""
+RETURN_MARGIN_S = 0.1
+"""Time that a caller that comes back is given for its way, seconds."""
+PRICED_MOST = 0.8
+"""The most that a price turns away of a route, so that no kind of request goes
+without: a quarter of what all get is the least that users accept."""
 STALL_S = 1.0
 """A server that holds requests and has answered nothing for this long, and whose
 last report is older than two intervals, takes no new work, seconds."""
 LATE_WEIGHT = 0.5
-"""What a late answer counts beside a failed one: it earns a third of its benefit."""
+"""What a late answer counts beside a failed one: it earns a third to a half."""
 OWN = 0
 """The link number of requests that began on this box."""
 
@@ -77,6 +79,10 @@
     """When it is refused if it has not been started."""
     started: float = 0.0
     streaming: bool = False
+    calls: int = 0
+    """Calls of its run that have ended."""
+    price: float = 0.0
+    """What these cost."""
 
     @property
     def rank(self) -> int:
@@ -96,16 +102,15 @@
     running: dict[int, Job] = attrs.Factory(dict)
     waiting: queueing.RankQueue[Job] = attrs.Factory(queueing.RankQueue)
     controls: pressure.Pressure = attrs.Factory(pressure.Pressure)
-    wait_level: pressure.WaitLevel = attrs.Factory(pressure.WaitLevel)
-    callers: callgraph.Callers = attrs.Factory(callgraph.Callers)
-    calls_each: callgraph.CallsEach = attrs.Factory(callgraph.CallsEach)
-    downstream: callgraph.Downstream = attrs.Factory(callgraph.Downstream)
+    costs: pricing.Costs = attrs.Factory(
+        lambda: pricing.Costs(start_hold_s=HOLD_START_S)
+    )
+    parents: lineage.Lineage = attrs.Factory(lineage.Lineage)
+    callers: lineage.Callers = attrs.Factory(lineage.Callers)
     health: health.Health = attrs.Factory(health.Health)
     by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
-    hold_s: float = HOLD_START_S
     _queue_timer: bool = False
     _answered_at: float = 0.0
-    _held: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.server = servers.ServerWatch(
@@ -120,7 +125,8 @@
     @property
     def pace_ms(self) -> int:
         """How long the server holds a request, running mean; 0 while not known."""
-        return int(1000 * self.hold_s) if self._held >= HELD_LEAST else 0
+        known = self.costs.ended_runs >= HELD_LEAST
+        return int(1000 * self.costs.mean_hold_s) if known else 0
 
     @property
     def limit(self) -> int:
@@ -163,16 +169,27 @@
         """Admit a request, have it wait, or refuse it."""
         job = self._job(now, link, forward, delay_s)
         self.callers.see(forward.route, forward.caller)
+        self._settle(now)
         reason = self._fault(now, job)
         if reason is not None:
             self._refuse(now, job, reason)
             return
         self.by_number[link, forward.number] = job
+        self.costs.slots.offered(self.costs.hold_s(forward.route))
         if len(self.running) < self.limit and not self.waiting:
             self._start(now, job)
             return
         self._wait(now, job)
 
+    def parent(self, now: float, route: str, stated_s: float) -> Job | None:
+        """Return the run at this box's server that a request is a call of."""
+        return self.parents.parent(now, route, stated_s, self.running.values())
+
+    def called(self, now: float, parent: Job, price: float) -> None:
+        """Note what a call of a run has cost, or would have."""
+        parent.price += price
+        self.costs.route(parent.forward.route).called(now, price)
+
     def cancel(self, now: float, link: int, number: int) -> None:
         """Drop a request that nobody waits for; one that must not repeat runs on."""
         job = self.by_number.get((link, number))
@@ -220,7 +237,7 @@
         if event.more:
             job.streaming = True
         else:
-            self._end(now, job)
+            self._end(now, job, whole=event.status < 500)
         answer = messages.Answer(
             number=job.forward.number,
             status=event.status,
@@ -229,7 +246,8 @@
             more=event.more,
             total=event.total,
             load=self.load(now),
-            level=self.level(now, job.forward),
+            price_pct=self._price_pct(job),
+            called=self.callers.by_servers(job.forward.route),
         )
         self.reply(now, job, answer)
         self._next(now)
@@ -241,7 +259,7 @@
             return
         self._answered_at = now
         if event.last:
-            self._end(now, job)
+            self._end(now, job, whole=True)
         number = job.forward.number
         self.reply(
             now, job, messages.Part(number=number, data=event.data, last=event.last)
@@ -265,39 +283,25 @@
     def look(self, now: float) -> None:
         """Refuse what has waited too long."""
         self._queue_timer = False
+        self._settle(now)
         late = [job for job in self.waiting if now >= job.wait_until]
         for job in late:
             self._drop(now, job)
         self._next(now)
         self._keep_looking(now)
 
-    def level(self, now: float, forward: messages.Forward) -> float:
-        """Return how hard a calling server's requests are to be held back, 0 to 1.
-
-        Below 0 for a request of a client: there is nothing behind it to hold back.
-        """
-        if not self.callers.by_servers(forward.route):
-            return messages.NO_LEVEL
-        self.wait_level.settle(now)
-        return max(self.wait_level.value, self._behind(now, forward))
-
-    def _behind(self, now: float, forward: messages.Forward) -> float:
-        """Return how hard the services that a request's run calls ask to hold back."""
-        if not self.calls_each.makes_calls(forward.route):
-            return 0.0
-        return self.downstream.level(now)
-
     def _job(
         self, now: float, link: int, forward: messages.Forward, delay_s: float
     ) -> Job:
         left_s = forward.left_s - delay_s
+        hold_s = self.costs.hold_s(forward.route)
         return Job(
             dispatch=self.rt.number(),
             link=link,
             forward=forward,
             arrived=now,
             deadline=now + left_s,
-            wait_until=now + min(forward.wait_s - delay_s, left_s),
+            wait_until=now + min(forward.wait_s - delay_s, left_s) - hold_s,
         )
 
     def _fault(self, now: float, job: Job) -> messages.Reason | None:
@@ -313,11 +317,25 @@
             return messages.Reason.INSTANCE
         if self._stalled(now):
             return messages.Reason.CLOSED
-        control = self.controls.route(forward.route)
-        if forward.lowest and control.turns_away(now, self._behind(now, forward)):
+        if forward.lowest and self._turns_away(now, forward):
             return messages.Reason.PRESSURE
         return None
 
+    def _turns_away(self, now: float, forward: messages.Forward) -> bool:
+        """Tell whether a request is held back for what is short of room."""
+        share = min(PRICED_MOST, self.costs.price(now, forward.route))
+        if forward.came_back:
+            share *= share
+        return self.controls.route(forward.route).turns_away(now, share)
+
+    def _settle(self, now: float) -> None:
+        self.costs.slots.settle(now, self.limit, self.waiting.hold_s)
+
+    def _price_pct(self, job: Job) -> int:
+        """Return what the run of a job has cost, in hundredths."""
+        price = self.costs.own_price(job.forward.route) + job.price
+        return round(100 * price)
+
     def _stalled(self, now: float) -> bool:
         """Tell whether the server has fallen silent."""
         quiet = now - self._answered_at > STALL_S
@@ -330,9 +348,9 @@
 
     def _wait(self, now: float, job: Job) -> None:
         """Have a request wait, or refuse what is least urgent."""
-        ahead = self.waiting.ahead(job.rank) + 1
-        wait_s = ahead * self.hold_s / self.limit
-        self.waiting.push(job.rank, job)
+        hold_s = self.costs.hold_s(job.forward.route)
+        wait_s = self.waiting.ahead_s(job.rank, hold_s) / self.limit
+        self.waiting.push(job.rank, job, hold_s)
         if wait_s > job.wait_until - now:
             self._drop(now, job)
         elif len(self.waiting) > QUEUE_MOST * self.limit:
@@ -341,7 +359,6 @@
         self._keep_looking(now)
 
     def _drop(self, now: float, job: Job) -> None:
-        self.wait_level.waited(now, job.wait_until - job.arrived)
         self.waiting.remove(job.rank, job)
         self._forget(job)
         self._refuse(now, job, messages.Reason.OVERLOAD)
@@ -363,8 +380,6 @@
 
     def _start(self, now: float, job: Job) -> None:
         job.started = now
-        self.wait_level.waited(now, now - job.arrived)
-        self.calls_each.began(now, job.forward.route)
         self.running[job.dispatch] = job
         forward = job.forward
         self.rt.emit(
@@ -381,14 +396,12 @@
             )
         )
 
-    def _end(self, now: float, job: Job) -> None:
-        """Take a request off the server's slots."""
+    def _end(self, now: float, job: Job, *, whole: bool = False) -> None:
+        """Take a request off the server's slots; `whole` if it ran to a good end."""
         self.running.pop(job.dispatch, None)
-        self.calls_each.ended(now, job.forward.route)
         self._forget(job)
-        held = now - job.started
-        self._held += 1
-        self.hold_s += HOLD_WEIGHT * (held - self.hold_s)
+        held_s = now - job.started
+        self.costs.ended(job.forward.route, hold_s=held_s, calls=job.calls, whole=whole)
 
     def _forget(self, job: Job) -> None:
         self.by_number.pop((job.link, job.forward.number), None)
@@ -399,9 +412,9 @@
         Where runs make no calls nothing behind the server can be the cause, and the
         choice of a server deals with one that fails by itself.
         """
-        if not self.calls_each.makes_calls(job.forward.route):
+        if not self.costs.makes_calls(job.forward.route):
             return
-        late = now - job.arrived > job.forward.target_s
+        late = now > job.arrived + job.forward.target_s > job.arrived
         weight = 1.0 if failed else LATE_WEIGHT * late
         self.controls.route(job.forward.route).ended(now, weight)
 
@@ -438,18 +451,23 @@
             retry_after_s=self._retry_after_s(now, reason, job),
             offered=offered,
             load=self.load(now),
-            level=self.level(now, job.forward),
+            price_pct=round(100 * self.costs.price(now, job.forward.route)),
+            called=self.callers.by_servers(job.forward.route),
         )
         self.reply(now, job, refused)
 
     def _retry_after_s(self, now: float, reason: messages.Reason, job: Job) -> float:
-        """Return when there will be room again, spread so that callers are too."""
-        clear_s = (len(self.waiting) + 1) * self.hold_s / self.limit
-        if reason is messages.Reason.PRESSURE:
-            share = self.controls.route(job.forward.route).share
-            share = max(share, self._behind(now, job.forward))
-            clear_s = PRESSURE_RETRY_S + PRESSURE_RETRY_MORE_S * share
+        """Return when there will be room again, spread so that callers are too.
+
+        While work is held back there is no such time: the caller is told one at which
+        an answer is still in time for it, so that its second try is worth a first one.
+        """
+        hold_s = self.costs.hold_s(job.forward.route)
+        clear_s = (self.waiting.hold_s + hold_s) / self.limit
         spread = 0.75 + 0.5 * self.rt.rng.random()
+        if reason is messages.Reason.PRESSURE:
+            in_time_s = job.forward.target_s - hold_s - RETURN_MARGIN_S
+            clear_s = max(PRESSURE_RETRY_S, in_time_s / 1.25)
         return min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, clear_s * spread))
 
     def _server_closed(self, now: float, reason: messages.Reason) -> None:
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -8,9 +8,7 @@
 
 from ferrydeck.mesh import budget
 
-PROTOCOL = 3
-NO_LEVEL = -1.0
-"""The level told to a client's request: nothing behind it is to be held back."""
+PROTOCOL = 4
 Fields = list[tuple[str, str]]
 """Header fields in the order in which they came."""
 
@@ -151,14 +149,17 @@
     left_s: float
     """Time left when this was sent, seconds."""
     wait_s: float
-    """How long it may wait for a slot, seconds."""
+    """How long its answer is of use, seconds; it waits no longer for a slot than
+    leaves time for its run."""
     target_s: float
     """Time left until its answer is late, seconds."""
     route: str
     priority: int
     lowest: bool
-    """Whether its rank is the one that is shed first."""
+    """Whether it is a caller's own request of the rank that is shed first."""
     repeatable: bool
+    came_back: bool
+    """Whether its caller was told before to come back later."""
 
 
 class Cancel(Message, tag=9):
@@ -185,7 +186,10 @@
     total: int
     """Length of the body, bytes; -1 where the server did not tell."""
     load: Load
-    level: float
+    price_pct: int
+    """Price of the run, its calls included (`pricing`), in hundredths."""
+    called: bool
+    """Whether servers send the requests of this route (`lineage`)."""
 
 
 class Part(Message, tag=12):
@@ -213,7 +217,10 @@
     offered: bool
     """Whether the server itself was asked and said no."""
     load: Load
-    level: float
+    price_pct: int
+    """Price that a run would have had, in hundredths."""
+    called: bool
+    """Whether servers send the requests of this route (`lineage`)."""
 
 
 class BeatRelay(Message, tag=15):
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -18,12 +18,9 @@
     splits,
 )
 
-WAIT_SHARE = 0.25
-"""Part of its target that a request of the lowest rank waits for a slot at most: a
-refusal within a quarter of the target still earns half when it comes back."""
-HIGHER_WAIT_SHARE = 0.5
-"""Part of its time that a request of a higher rank waits for a slot at most: it is
-to be shed later than those below it, and other work may hang on it."""
+CAME_BACK_S = 0.3
+"""A caller that states this much less than the most that callers of the route state
+has waited before, seconds: it was told to come back no sooner."""
 PAUSE_S = 0.03
 """Pause before a request is tried again for which no gate was open, seconds."""
 DEADLINE_SLACK_S = 0.02
@@ -75,6 +72,8 @@
     by_conn: dict[int, calls.Call] = attrs.Factory(dict)
     by_number: dict[int, calls.Call] = attrs.Factory(dict)
     by_attempt: dict[int, calls.Call] = attrs.Factory(dict)
+    stated_s: dict[str, float] = attrs.Factory(dict)
+    """The longest time that a caller of each route said it waits, seconds."""
     closed: bool = False
     """Whether no further request is taken, since the daemon is about to end."""
 
@@ -129,7 +128,7 @@
         call = self._current(peer, message.number)
         if call is None:
             return
-        self._told(now, peer, message)
+        self._told(now, call, peer, message)
         failed = message.status >= 500
         outlier = failed and self.chooser.outlier(now, peer, call.service)
         if outlier and not message.more and self.repeats.may_repeat(now, call):
@@ -172,7 +171,7 @@
         call = self._current(peer, message.number)
         if call is None:
             return
-        self._told(now, peer, message)
+        self._told(now, call, peer, message)
         self._lost(now, call, message.reason)
 
     def refused(
@@ -182,7 +181,7 @@
         call = self._current(peer, message.number)
         if call is None:
             return
-        self._told(now, peer, message)
+        self._told(now, call, peer, message)
         self._end_attempt(call)
         if not message.offered:
             call.offered -= 1
@@ -261,6 +260,9 @@
         if request.deadline_s is not None:
             held_s = min(held_s, request.deadline_s)
         service = self.splits.service(route, self.rt.rng.random())
+        parent = self._parent(now, request, route)
+        waited_s = self._waited_s(route, request) if parent is None else 0.0
+        rank = route.priority if parent is None else min(route.priority, parent.rank)
         return calls.Call(
             number=self.rt.number(),
             conn=request.conn,
@@ -269,16 +271,54 @@
             request=request,
             started=now,
             deadline=now + held_s,
-            give_up_at=now + self._patience_s(route, held_s),
+            late_at=now + route.target_s - waited_s,
+            give_up_at=now + self._patience_s(route, held_s, waited_s, parent),
             policy_version=self.rt.version,
-            lowest=route.priority >= self.rt.policy.lowest_rank,
+            priority=rank,
+            lowest=parent is None and route.priority >= self.rt.policy.lowest_rank,
+            parent=parent,
+            came_back=waited_s > CAME_BACK_S,
         )
 
-    def _patience_s(self, route: policy.Route, held_s: float) -> float:
-        """Return how long a request may wait before a server has it, seconds."""
-        if route.priority < self.rt.policy.lowest_rank:
-            return HIGHER_WAIT_SHARE * held_s
-        return min(WAIT_SHARE * route.target_s, HIGHER_WAIT_SHARE * held_s)
+    def _parent(
+        self, now: float, request: events.RequestTaken, route: policy.Route
+    ) -> gate.Job | None:
+        """Return the run that a request is a call of, `None` for a caller's own."""
+        if request.deadline_s is None:
+            return None
+        return self.gate.parent(now, route.name, request.deadline_s)
+
+    def _waited_s(self, route: policy.Route, request: events.RequestTaken) -> float:
+        """Return how long a caller has waited since its first try, seconds.
+
+        A caller that comes back states what is left of the time that it began with.
+        """
+        if request.deadline_s is None:
+            return 0.0
+        most_s = max(self.stated_s.get(route.name, 0.0), request.deadline_s)
+        self.stated_s[route.name] = most_s
+        return most_s - request.deadline_s
+
+    def _patience_s(
+        self,
+        route: policy.Route,
+        held_s: float,
+        waited_s: float,
+        parent: gate.Job | None,
+    ) -> float:
+        """Return by when a request is to be served if it is to be of use, seconds.
+
+        The calls of a run come in turn, as far as is seen: each has its part of the
+        time that the run has left. An urgent request is of use as long as its caller
+        waits; others make room when they would be late, unless they are already.
+        """
+        if parent is not None:
+            known = self.gate.costs.route(parent.forward.route).calls
+            return held_s / max(1.0, known - parent.calls)
+        in_time_s = route.target_s - waited_s
+        if route.priority < self.rt.policy.lowest_rank or in_time_s <= 0:
+            return held_s
+        return min(in_time_s, held_s)
 
     def _try(self, now: float, call: calls.Call) -> None:
         """Send the request to a gate."""
@@ -319,11 +359,12 @@
             sent_s=now,
             left_s=call.deadline - now,
             wait_s=max(0.0, call.give_up_at - now),
-            target_s=call.started + call.route.target_s - now,
+            target_s=call.late_at - now,
             route=call.route.name,
-            priority=call.route.priority,
+            priority=call.priority,
             lowest=call.lowest,
             repeatable=call.route.repeatable,
+            came_back=call.came_back,
         )
         if peer is None:
             call.tried.add(self.rt.identity.address)
@@ -345,6 +386,7 @@
     def _told(
         self,
         now: float,
+        call: calls.Call,
         peer: peers.Peer | None,
         message: messages.Answer | messages.Refused | messages.Broken,
     ) -> None:
@@ -352,9 +394,9 @@
             peer.told(now, message.load)
         if isinstance(message, messages.Broken):
             return
-        if message.level >= 0:
-            self.gate.downstream.told(now, message.level)
-            self.gate.calls_each.called(now)
+        self.gate.parents.told(call.route.name, called=message.called)
+        if call.parent is not None:
+            self.gate.called(now, call.parent, message.price_pct / 100)
 
     def _end_attempt(self, call: calls.Call) -> None:
         self.by_attempt.pop(call.attempt, None)
@@ -466,6 +508,8 @@
         self.by_conn.pop(call.conn, None)
         self.by_number.pop(call.number, None)
         self.repeats.short.pop(call.number, None)
+        if call.parent is not None:
+            call.parent.calls += 1
         call.note(self.rt, outcome, reason, ms=round(1000 * (now - call.started), 1))
         self.rt.emit(
             effects.Finished(
--- a/ferrydeck/mesh/pressure.py
+++ b/ferrydeck/mesh/pressure.py
@@ -25,15 +25,6 @@
 """Some requests are always let in, so that a recovery is seen."""
 SHARE_LEAST = 0.02
 """A smaller share is none."""
-WAIT_GOAL_S = 0.04
-"""How long requests wait for a slot before callers are asked to hold back, seconds: a
-posting of the users' sheets makes four calls in turn within 0.8 s."""
-LEVEL_EVERY_S = 0.1
-"""How often the level is set anew, seconds."""
-LEVEL_RISE = 0.08
-"""Rise a step at twice the goal, more above it: in force within a second."""
-LEVEL_FALL = 0.02
-"""Fall a step: from half to nothing in 2.5 s."""
 
 
 @attrs.define(kw_only=True)
@@ -97,29 +88,3 @@
         if control is None:
             control = self.routes[name] = RoutePressure()
         return control
-
-
-@attrs.define(kw_only=True)
-class WaitLevel:
-    """How hard a gate asks callers to hold back, from how long requests wait."""
-
-    value: float = 0.0
-    _longest: float = 0.0
-    _next: float = 0.0
-
-    def waited(self, now: float, wait_s: float) -> None:
-        """Note how long a request has waited, also one that was refused."""
-        self._longest = max(self._longest, wait_s)
-        self.settle(now)
-
-    def settle(self, now: float) -> None:
-        """Set the level anew when it is time."""
-        if now < self._next:
-            return
-        self._next = now + LEVEL_EVERY_S
-        over = self._longest / WAIT_GOAL_S - 1.0
-        if over > 0:
-            self.value = min(SHARE_MOST, self.value + LEVEL_RISE * min(2.0, over))
-        else:
-            self.value = max(0.0, self.value - LEVEL_FALL)
-        self._longest = 0.0
