Add up refusals, failures and lost dependencies from logs

Change: ferrydeck summary counts by second, reason and route, box or service what daemons' lines say; explain reads lines by the same reader.

--- a/ferrydeck/cli.py
+++ b/ferrydeck/cli.py
@@ -21,6 +21,7 @@
     roll,
     sign,
     status,
+    summary,
 )
 
 COMMANDS: dict[str, types.ModuleType] = {
@@ -35,6 +36,7 @@
     "call": call,
     "replay": replay,
     "explain": explain,
+    "summary": summary,
 }
 EXIT_HELP = (
     "exit codes: 0 done, 1 refused, 2 bad input, 3 not reachable or outcome not known"
@@ -48,11 +50,11 @@
     )
     subparsers = made.add_subparsers(dest="command", required=True, metavar="COMMAND")
     for name, module in COMMANDS.items():
-        summary = module.__doc__.partition(": ")[2].strip()
+        about = module.__doc__.partition(": ")[2].strip()
         sub = subparsers.add_parser(
             name,
-            help=summary,
-            description=summary,
+            help=about,
+            description=about,
             epilog=f"example: {module.EXAMPLE} | {EXIT_HELP}",
         )
         module.configure(sub)
--- a/ferrydeck/commands/explain.py
+++ b/ferrydeck/commands/explain.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import argparse
-import sys
 from typing import Any
 
 import attrs
-import msgspec
 
 from ferrydeck import outcomes
-from ferrydeck.commands import files
+from ferrydeck.commands import lines
 
 EXAMPLE = "ferrydeck explain 9c41d07be2a35f68 box-1.log box-2.log"
 
 CAUSES = {
     ("refused", "overload"): "refused: every gate asked had no slot in time",
-    ("refused", "pressure"): "refused: too many such requests fail behind the server",
+    ("refused", "pressure"): "refused: what its run needs is short of room, or fails",
     ("refused", "no-server"): "refused: no gate of the service took work",
     ("refused", "closed"): "refused: the gates asked were closing",
     ("refused", "server-refused"): "refused: the server said that it did not run it",
@@ -26,6 +24,7 @@
     ("declined", "no-route"): "no route for its host and path in the policy in force",
     ("declined", "stopping"): "refused: the daemon was about to end",
     ("unknown", "timeout"): "no answer by its deadline; it may have run",
+    ("unknown", "budget"): "it may have run, and the bound on repeats was reached",
     ("unknown", "server-lost"): "the server's answer was lost; it may have run",
     ("unknown", "link-lost"): "the link to the gate was lost; it may have run",
     ("unknown", "bad-answer"): "the server's answer was not whole; it may have run",
@@ -46,7 +45,6 @@
 
     request_id: str
     lines: list[dict[str, Any]] = attrs.Factory(list)
-    unreadable: int = 0
 
     @property
     def final(self) -> dict[str, Any] | None:
@@ -83,14 +81,12 @@
 def run(args: argparse.Namespace) -> outcomes.Outcome:
     """Print the story of a request and its cause."""
     story = Story(request_id=args.id)
-    for name in args.files:
-        read_into(story, files.read_bytes(name))
-    if not args.files:
-        read_into(story, sys.stdin.buffer.read())
+    reader = lines.Reader()
+    story.lines = [one for one in reader.read(args.files) if belongs(one, args.id)]
     if not story.lines:
         return outcomes.BadInput(
             text=f"no line about {args.id}: lines of plain outcomes are left out first",
-            data={"unreadable": story.unreadable},
+            data={"unreadable": reader.unreadable},
         )
     story.lines.sort(key=lambda line: line["time"])
     text = "\n".join([*map(told, story.lines), f"cause: {story.cause()}"])
@@ -98,23 +94,10 @@
     return outcomes.Done(text=text, data=data)
 
 
-def read_into(story: Story, raw: bytes) -> None:
-    """Add the lines of a log that are about the request, or calls made for it."""
-    for row in raw.splitlines():
-        start = row.find(b"{")
-        if start < 0:
-            continue
-        try:
-            line = msgspec.json.decode(row[start:])
-        except msgspec.DecodeError:
-            story.unreadable += 1
-            continue
-        if not isinstance(line, dict) or "time" not in line or "kind" not in line:
-            story.unreadable += 1
-            continue
-        named = str(line.get("id", ""))
-        if named == story.request_id or named.startswith(story.request_id + "."):
-            story.lines.append(line)
+def belongs(line: dict[str, Any], request_id: str) -> bool:
+    """Tell whether a line is about a request, or a call made for it."""
+    named = str(line.get("id", ""))
+    return named == request_id or named.startswith(request_id + ".")
 
 
 def told(line: dict[str, Any]) -> str:
