Have gates grant all repeats; no shares of daemons, no loans

Cause: the bound on repeats was kept twice, by shares of daemons (with loans and draws, since a share is below one repeat from some fifteen daemons on) for what may have run, and by gates for what servers shed. Change: a request that may have run asks for its second run at the gate it goes to, which knows the requests and repeats of its part of the service; runs that make calls get a quarter of the agreed ratio, as before, others what is left of it. A failure that a server gave is kept and delivered where no second run is granted. In the test a lost box's requests are all repeated, with more of them than one gate's part.

--- a/ferrydeck/mesh/budget.py
+++ b/ferrydeck/mesh/budget.py
@@ -1,89 +1,161 @@
-"""The retry budget that all daemons share: each spends its own part of it."""
+"""How often requests may be sent again, decided at the gate of the server they go to.
+
+The agreed bound counts the arrivals at all servers of a service against the requests
+for it, in sliding windows. Each gate sees its server's part of both, so each keeps
+the bound for its part and all of them keep it together. Requests in the window before
+count too: when every server of a service sheds, callers further up give up early, and
+what could be offered again would dwindle with them.
+
+What servers shed goes to the most urgent first. A run that makes eight calls needs
+each of them: offers spread over all would complete none.
+
+A request that may have run before is granted as well, but where its run makes calls
+only to a small share: its calls arrive again at the services behind, at each level of
+a chain on top of the one above.
+"""
 
 from __future__ import annotations
 
-import random
+import collections
+import math
 
 import attrs
 
-SHARE = 0.25
-"""Part of the agreed ratio that is spent on requests that may have run. The calls
-that a repeated run makes again count at the services that they go to: with chains of
-four services each level may add as much as the one above it. What servers shed is
-paid for by their gates (`shed`)."""
-SLACK_SHARE = 0.5
-"""Part of the agreed slack that all daemons together spend without requests: a box
-that is lost takes some requests of all others with it at once."""
-DRIP_WINDOWS = 4.0
-"""Windows over which a share fills up again without any request: what is held at the
-begin of a window and what drips into it stay within the slack together."""
-LEND_WHOLE = 2.0
-"""A share below this many repeats is lent whole: with many daemons each holds less
-than one repeat, and only what several hold together is of use."""
+SHARE = 0.85
+"""Part of the agreed ratio up to which requests are sent again. The calls of second
+runs count too as far as they are known as such; the rest is for those that are not."""
+CALLING_SHARE = 0.25
+"""Part of the agreed ratio up to which runs that make calls are repeated: with chains
+of four services each level may add as much as the one above it."""
+SLACK_SHARE = 0.75
+"""Part of the agreed slack that the gates of a service together spend without any
+request: a box that is lost takes some requests of all others with it at once."""
+STEP_S = 0.5
+"""How long requests are counted together, seconds: a twentieth of a window."""
+RATE_STEPS = 2
+"""Steps over which it is measured how often the server sheds."""
+SHED_MOST = 0.9
+"""The share of shed requests that is reckoned with at most."""
 
 
 @attrs.define(kw_only=True)
-class RetryBudget:
-    """A token bucket a service: requests fill it, further sendings empty it."""
+class RepeatBudget:
+    """The part of the bound that one gate keeps."""
 
     ratio: float
-    """Agreed repeats for each request, over all daemons."""
+    """Agreed repeats for each request."""
     slack: float
-    """Agreed repeats in a window without any request, over all daemons."""
+    """Agreed repeats in a window without any request, over all gates."""
     window_s: float
-    rng: random.Random
-    daemons: int = 1
-    """How many daemons share the slack; never less than were ever seen."""
-    _tokens: dict[str, float] = attrs.Factory(dict)
-    _filled: dict[str, float] = attrs.Factory(dict)
-
-    def see_daemons(self, count: int) -> None:
-        """Note how many daemons there are; the share only shrinks."""
-        self.daemons = max(self.daemons, count)
-
-    def fresh(self, now: float, service: str) -> None:
-        """Note a request that is sent for the first time."""
-        self._refill(now, service, self.ratio * SHARE)
-
-    def may_spend(self, now: float, service: str) -> bool:
-        """Take one repeat from the budget of a service, if there is one left."""
-        self._refill(now, service, 0.0)
-        held = self._tokens[service]
-        if held >= 1.0:
-            self._tokens[service] = held - 1.0
-            return True
-        if self._burst >= 1.0:
+    gates: int = 1
+    """Gates of the service; never less than were ever seen."""
+    _first: collections.Counter[int] = attrs.Factory(collections.Counter)
+    """Requests by step that were shown to this gate first."""
+    _ranks: collections.Counter[tuple[int, int]] = attrs.Factory(collections.Counter)
+    """The same by step and rank, of the last window."""
+    _granted: collections.Counter[int] = attrs.Factory(collections.Counter)
+    """Repeats by step, those of requests that may have run included."""
+    _offered: collections.Counter[int] = attrs.Factory(collections.Counter)
+    """Requests by step that were offered to the server."""
+    _shed: collections.Counter[int] = attrs.Factory(collections.Counter)
+    """Those of them that it shed."""
+    _step: int = -1
+    _allowed: list[float] = attrs.Factory(list)
+    """The bounds of the windows that end with this step and with each later one."""
+
+    def see_gates(self, count: int) -> None:
+        """Note how many gates the service has; this one's part only shrinks."""
+        self.gates = max(self.gates, count)
+
+    def first(self, now: float, rank: int) -> None:
+        """Note a request that no gate was shown before."""
+        self._advance(now)
+        self._first[self._step] += 1
+        self._ranks[self._step, rank] += 1
+
+    def offered(self, now: float) -> None:
+        """Note a request that goes to the server."""
+        self._advance(now)
+        self._offered[self._step] += 1
+
+    def repeated(self, now: float) -> None:
+        """Count a call of a second run."""
+        self._advance(now)
+        self._granted[self._step] += 1
+
+    def grants_shed(self, now: float, rank: int) -> bool:
+        """Tell whether a request that was shed may be offered again, and count it."""
+        self._advance(now)
+        self._shed[self._step] += 1
+        if self._left() - self._kept_for_urgent(rank) < 1.0:
+            return False
+        self._granted[self._step] += 1
+        return True
+
+    def grants_repeat(self, now: float, *, makes_calls: bool) -> bool:
+        """Tell whether a request that may have run before may run, and count it."""
+        self._advance(now)
+        left = self._left()
+        if makes_calls:
+            used = sum(self._granted.values())
+            left = min(left, CALLING_SHARE / SHARE * (left + used) - used)
+        if left < 1.0:
             return False
-        # A share that can't grow to one repeat is drawn for, so that all daemons
-        # together spend what they hold; a lost draw spends it as well.
-        self._tokens[service] = 0.0
-        return self.rng.random() < held
-
-    def lend(self, now: float, service: str) -> float:
-        """Take half of what is held off this share, all of it where it is little."""
-        self._refill(now, service, 0.0)
-        held = self._tokens[service]
-        lent = held if held < LEND_WHOLE else held / 2
-        self._tokens[service] = held - lent
-        return lent
-
-    def receive(self, now: float, service: str, tokens: float) -> None:
-        """Add what another daemon has taken off its share."""
-        self._refill(now, service, 0.0)
-        self._tokens[service] += tokens
-
-    @property
-    def _burst(self) -> float:
-        """The most repeats that this daemon saves up, also less than one."""
-        return self.slack * SLACK_SHARE / self.daemons
-
-    def _refill(self, now: float, service: str, tokens: float) -> None:
-        burst = self._burst
-        last = self._filled.get(service)
-        self._filled[service] = now
-        if last is None:
-            self._tokens[service] = burst
+        self._granted[self._step] += 1
+        return True
+
+    def _left(self) -> float:
+        """Return what may be granted now in each window that the present is in."""
+        spent = sum(self._granted.values())
+        least = float("inf")
+        for ahead, allowed in enumerate(self._allowed):
+            spent -= self._granted.get(self._step + ahead - len(self._allowed), 0)
+            least = min(least, allowed - spent)
+        return least
+
+    def _kept_for_urgent(self, rank: int) -> float:
+        """Return the offers that more urgent requests will ask for within a window.
+
+        As many of them will come as came in the last one, and each is shed and offered
+        again until it is served.
+        """
+        urgent = sum(count for (_, other), count in self._ranks.items() if other < rank)
+        if not urgent:
+            return 0.0
+        shed = sum(self._shed.values()) / max(1, sum(self._offered.values()))
+        shed = min(SHED_MOST, shed)
+        return urgent * shed / (1.0 - shed)
+
+    def _advance(self, now: float) -> None:
+        """Forget old steps and set anew what is allowed, once a step."""
+        step = int(now / STEP_S)
+        if step == self._step:
             return
-        drip = (now - last) * burst / (DRIP_WINDOWS * self.window_s)
-        held = self._tokens[service]
-        self._tokens[service] = max(held, min(burst, held + drip + tokens))
+        self._step = step
+        window = math.ceil(self.window_s / STEP_S)
+        _forget(self._first, step - 2 * window)
+        _forget(self._granted, step - window)
+        _forget(self._offered, step - RATE_STEPS)
+        _forget(self._shed, step - RATE_STEPS)
+        for old in [one for one in self._ranks if one[0] <= step - window]:
+            del self._ranks[old]
+        self._allowed = [
+            self._allowed_until(end, window) for end in range(step, step + window)
+        ]
+
+    def _allowed_until(self, end: int, window: int) -> float:
+        """Return the bound of a window by the requests that are known so far."""
+        ends = (end, end - window // 2, end - window)
+        most = max(self._count_first(one - window, one) for one in ends)
+        part = self.slack * SLACK_SHARE / self.gates
+        return self.ratio * SHARE * most + part
+
+    def _count_first(self, after: int, until: int) -> int:
+        return sum(
+            count for step, count in self._first.items() if after < step <= until
+        )
+
+
+def _forget(counts: collections.Counter[int], until: int) -> None:
+    for step in [one for one in counts if one <= until]:
+        del counts[step]
--- a/ferrydeck/mesh/calls.py
+++ b/ferrydeck/mesh/calls.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-from ferrydeck.mesh import events, gate, peers, policy, runtime
+from ferrydeck.mesh import events, gate, messages, peers, policy, runtime
+
+HOPS = 5
+"""Gates that one request is shown to at most, those that refuse it included."""
+OFFERS_MOST = 8
+"""Servers that one request is offered to at most where they shed it: of requests to
+servers that shed half, one in 250 is given up."""
+LEAST_RETRY_S = 0.03
+"""A request with less time left than this is not sent again, seconds."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -33,6 +41,8 @@
     peer: peers.Peer | None = None
     """Where the attempt is; `None` for this box's own gate."""
     may_have_run: bool = False
+    failed: messages.Answer | None = None
+    """A server's failure, for the caller if no other server gives an answer."""
     streaming: bool = False
     policy_version: int = 0
     priority: int = 0
@@ -50,11 +60,23 @@
         return self.request.request_id
 
     @property
-    def is_repeat(self) -> bool:
+    def repeat(self) -> messages.Repeat:
         """Whether its arrival at a server counts against the bound on repeats."""
-        return self.may_have_run or (
-            self.parent is not None and self.parent.forward.repeat
-        )
+        if self.may_have_run:
+            return messages.Repeat.MAY_HAVE_RUN
+        if self.parent is not None and self.parent.forward.repeat:
+            return messages.Repeat.CALL
+        return messages.Repeat.NO
+
+    def may_repeat(self, now: float) -> bool:
+        """Tell whether it may run at another server, if the gate there grants it."""
+        if not self.route.repeatable or self.offered >= self.route.attempts:
+            return False
+        return self.hops < HOPS and self.deadline - now >= LEAST_RETRY_S
+
+    def may_offer_again(self, now: float) -> bool:
+        """Tell whether it may be offered again, granted by the gate that shed it."""
+        return self.offered < OFFERS_MOST and self.deadline - now >= LEAST_RETRY_S
 
     def note(
         self, rt: runtime.Runtime, outcome: str, reason: str, **more: object
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -8,7 +8,6 @@
 import attrs
 
 from ferrydeck.mesh import (
-    budget,
     choosing,
     effects,
     events,
@@ -18,7 +17,6 @@
     peers,
     policy,
     registry,
-    repeats,
     runtime,
     servers,
 )
@@ -96,18 +94,11 @@
         self.rt = rt
         self.peers = peers.Peers(rt=rt)
         self.gate = gate.Gate(rt=rt, reply=self._reply, announce=self._announce)
-        spending = budget.RetryBudget(
-            ratio=self.terms.retry_ratio,
-            slack=self.terms.retry_slack,
-            window_s=self.terms.retry_window_s,
-            rng=self.rng,
-        )
         self.origin = origin.Origin(
             rt=rt,
             peers=self.peers,
             chooser=choosing.Chooser(rt=rt, peers=self.peers, gate=self.gate),
             gate=self.gate,
-            repeats=repeats.Repeats(rt=rt, peers=self.peers, budget=spending),
         )
         self.registry = registry.Registry(
             rt=rt,
@@ -205,8 +196,6 @@
                 self.origin.again(now, number)
             case origin.SilentTimer():
                 self.origin.look_for_silent(now)
-            case repeats.LoanTimer(number=number):
-                self.origin.loan_late(now, number)
             case gate.QueueTimer():
                 self.gate.look(now)
             case servers.ProbeTimer():
@@ -220,7 +209,7 @@
                 self._check_left(now)
 
     def _tick_peers(self, now: float) -> None:
-        self.gate.shed.see_gates(1 + self.peers.gates(self.identity.service))
+        self.gate.budget.see_gates(1 + self.peers.gates(self.identity.service))
         linked = {peer for peer in self.peers.by_address.values() if peer.out}
         self.peers.tick(now)
         for peer in linked:
@@ -255,16 +244,12 @@
             case messages.Welcome():
                 self.peers.welcomed(now, peer, message)
                 self.gate.server.vouch(now, message.left)
-                spending = self.origin.repeats.budget
-                spending.see_daemons(1 + len(self.peers.by_address))
                 self._heard_version(now, peer, message.gate.version)
             case messages.PolicyAsk():
                 if self.rt.policy is not None:
                     self.peers.send(now, peer, self._policy_to_give())
             case messages.PolicyGive(raw=raw):
                 self._given(now, raw, peer.box)
-            case messages.Loan():
-                self.origin.lent(now, message)
             case messages.BeatRelayed(number=number, taken=taken):
                 self._relayed(number, taken)
 
@@ -292,8 +277,6 @@
                     self._send_back(link, self._policy_to_give())
             case messages.PolicyGive(raw=raw):
                 self._given(now, raw, peer_link.box)
-            case messages.LoanAsk():
-                self._send_back(link, self.origin.repeats.lend(now, message))
             case messages.BeatRelay():
                 self._on_relay(now, link, message)
 
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -13,6 +13,7 @@
 import attrs
 
 from ferrydeck.mesh import (
+    budget,
     effects,
     events,
     health,
@@ -23,7 +24,6 @@
     queueing,
     runtime,
     servers,
-    shed,
 )
 
 QUEUE_TICK_S = 0.02
@@ -110,7 +110,7 @@
     )
     parents: lineage.Lineage = attrs.Factory(lineage.Lineage)
     callers: lineage.Callers = attrs.Factory(lineage.Callers)
-    shed: shed.ShedRepeats = attrs.field(init=False)
+    budget: budget.RepeatBudget = attrs.field(init=False)
     health: health.Health = attrs.Factory(health.Health)
     by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
     _queue_timer: bool = False
@@ -119,7 +119,7 @@
 
     def __attrs_post_init__(self) -> None:
         terms = self.rt.terms
-        self.shed = shed.ShedRepeats(
+        self.budget = budget.RepeatBudget(
             ratio=terms.retry_ratio,
             slack=terms.retry_slack,
             window_s=terms.retry_window_s,
@@ -181,9 +181,9 @@
         job = self._job(now, link, forward, delay_s)
         self.callers.see(forward.route, forward.caller)
         if forward.first:
-            self.shed.first(now, forward.priority)
-        if forward.repeat:
-            self.shed.repeated(now)
+            self.budget.first(now, forward.priority)
+        if forward.repeat is messages.Repeat.CALL:
+            self.budget.repeated(now)
         self._settle(now)
         reason = self._fault(now, job)
         if reason is not None:
@@ -334,6 +334,10 @@
             return messages.Reason.CLOSED
         if forward.lowest and self._turns_away(now, forward):
             return messages.Reason.PRESSURE
+        if forward.repeat is messages.Repeat.MAY_HAVE_RUN:
+            makes_calls = self.costs.makes_calls(forward.route)
+            if not self.budget.grants_repeat(now, makes_calls=makes_calls):
+                return messages.Reason.BUDGET
         return None
 
     def _turns_away(self, now: float, forward: messages.Forward) -> bool:
@@ -409,7 +413,7 @@
 
     def _start(self, now: float, job: Job) -> None:
         job.started = now
-        self.shed.offered(now)
+        self.budget.offered(now)
         self.running[job.dispatch] = job
         forward = job.forward
         self.rt.emit(
@@ -462,7 +466,7 @@
         self.health.ended(now, failed=True)
         if facts.instance and facts.instance != self.server.instance:
             self.server.replaced(now, facts.instance)
-        again = self.shed.grants(now, job.rank)
+        again = self.budget.grants_shed(now, job.rank)
         reason = messages.Reason.SERVER_REFUSED
         self._refuse(now, job, reason, offered=True, again=again)
         self._next(now)
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -49,6 +49,16 @@
     """The daemon itself is stopping."""
 
 
+class Repeat(enum.IntEnum):
+    """Whether the arrival of a request at a server counts against the bound."""
+
+    NO = 0
+    CALL = 1
+    """It is a call of a run that is a repeat."""
+    MAY_HAVE_RUN = 2
+    """It may have run before: the gate decides whether it may run again."""
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """What all messages have in common."""
 
@@ -160,8 +170,7 @@
     """Whether its caller was told before to come back later."""
     first: bool
     """Whether no gate was shown the request before."""
-    repeat: bool
-    """Whether it may have run before, or is a call of a run that is a repeat."""
+    repeat: Repeat
 
 
 class Cancel(Message, tag=9):
@@ -219,7 +228,7 @@
     offered: bool
     """Whether the server itself was asked and said no."""
     again: bool
-    """Whether it may be offered to a server again (`shed`); only where it was."""
+    """Whether it may be offered to a server again (`budget`); only where it was."""
     load: Load
     price_pct: int
     """Price that a run would have had, in hundredths."""
@@ -248,19 +257,6 @@
     taken: bool
 
 
-class LoanAsk(Message, tag=17):
-    """Asks for a part of the receiver's share of the retry budget."""
-
-    service: str
-
-
-class Loan(Message, tag=18):
-    """A part of the sender's share, which it has taken off its own."""
-
-    service: str
-    tokens: float
-
-
 Any = (
     GateState
     | Hello
@@ -278,8 +274,6 @@
     | Refused
     | BeatRelay
     | BeatRelayed
-    | LoanAsk
-    | Loan
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -13,7 +13,6 @@
     messages,
     peers,
     policy,
-    repeats,
     runtime,
     splits,
 )
@@ -67,7 +66,6 @@
     peers: peers.Peers
     chooser: choosing.Chooser
     gate: gate.Gate
-    repeats: repeats.Repeats
     splits: splits.Splits = attrs.Factory(splits.Splits)
     by_conn: dict[int, calls.Call] = attrs.Factory(dict)
     by_number: dict[int, calls.Call] = attrs.Factory(dict)
@@ -98,7 +96,6 @@
         call = self._call(now, request, route)
         self.by_conn[call.conn] = call
         self.by_number[call.number] = call
-        self.repeats.budget.fresh(now, call.service)
         self.rt.at(call.deadline - DEADLINE_SLACK_S, DeadlineTimer(number=call.number))
         self._try(now, call)
 
@@ -131,25 +128,16 @@
         self._told(now, call, peer, message)
         failed = message.status >= 500
         outlier = failed and self.chooser.outlier(now, peer, call.service)
-        if outlier and not message.more and self.repeats.may_repeat(now, call):
-            self._end_attempt(call)
-            call.may_have_run = True
-            self._try(now, call)
+        if outlier and not message.more and call.may_repeat(now):
+            call.failed = message
+            self._repeat(now, call, "failed")
             return
-        self.rt.emit(
-            effects.Reply(
-                conn=call.conn,
-                status=message.status,
-                fields=message.fields,
-                body=message.body,
-                more=message.more,
-                total=message.total,
-            )
-        )
         if message.more:
             call.streaming = True
+            self._reply(call, message)
             return
         self._end_attempt(call)
+        self._reply(call, message)
         self._finish(now, call, "answered", str(message.status))
 
     def part(self, now: float, peer: peers.Peer | None, message: messages.Part) -> None:
@@ -188,7 +176,7 @@
             self._elsewhere(now, call, message.reason, message.retry_after_s)
             return
         call.servers.add(self._address(peer))
-        if message.again and self.repeats.may_offer_again(now, call):
+        if message.again and call.may_offer_again(now):
             if len(call.servers) >= call.route.attempts:
                 call.tried = {self._address(peer)}
             self._try(now, call)
@@ -221,17 +209,6 @@
         if call is not None and not call.attempt:
             self._try(now, call)
 
-    def lent(self, now: float, loan: messages.Loan) -> None:
-        """Send the requests again that a loan pays for."""
-        for call in self.repeats.lent(now, loan):
-            self._try(now, call)
-
-    def loan_late(self, now: float, number: int) -> None:
-        """Give up a request that no loan came for."""
-        call = self.repeats.short.pop(number, None)
-        if call is not None:
-            self._give_up(now, call, MAYBE_RUN_STATUS, messages.Reason.BUDGET)
-
     def look_for_silent(self, now: float) -> None:
         """Send repeatable requests that are at silent boxes to other ones."""
         self.rt.at(now + SILENT_EVERY_S, SilentTimer())
@@ -244,13 +221,15 @@
                     self._move(now, call)
 
     def _move(self, now: float, call: calls.Call) -> None:
-        if not self.repeats.may_repeat(now, call):
-            if call.route.repeatable:
-                self.repeats.ask(now, call.service)
-            return
-        self._withdraw(now, call)
+        if call.may_repeat(now):
+            self._withdraw(now, call)
+            self._repeat(now, call, "silent")
+
+    def _repeat(self, now: float, call: calls.Call, reason: str) -> None:
+        """Ask another gate to run a request that may have run."""
+        self._end_attempt(call)
         call.may_have_run = True
-        call.note(self.rt, "moved", "silent")
+        call.note(self.rt, "repeated", reason)
         self._try(now, call)
 
     def _call(
@@ -322,7 +301,7 @@
 
     def _try(self, now: float, call: calls.Call) -> None:
         """Send the request to a gate."""
-        if call.deadline - now < repeats.LEAST_RETRY_S:
+        if call.deadline - now < calls.LEAST_RETRY_S:
             self._no_time(now, call)
             return
         full = len(call.servers) >= call.route.attempts
@@ -366,7 +345,7 @@
             repeatable=call.route.repeatable,
             came_back=call.came_back,
             first=call.hops == 1,
-            repeat=call.is_repeat,
+            repeat=call.repeat,
         )
         if peer is None:
             call.tried.add(self.rt.identity.address)
@@ -422,9 +401,9 @@
         self, now: float, call: calls.Call, reason: str, retry_after_s: float
     ) -> None:
         """Show a request that was not run to another gate, or refuse it."""
-        final = reason == messages.Reason.PRESSURE
+        final = reason in (messages.Reason.PRESSURE, messages.Reason.BUDGET)
         shown = call.hops - call.offered
-        if not final and shown < repeats.HOPS and now < call.give_up_at:
+        if not final and shown < calls.HOPS and now < call.give_up_at:
             self._try(now, call)
             return
         self._refuse(now, call, reason, retry_after_s)
@@ -432,7 +411,7 @@
     def _nobody(self, now: float, call: calls.Call, known: int) -> None:
         """Look again soon, as long as a refusal is still early."""
         shown = call.hops - call.offered
-        if now + PAUSE_S < call.give_up_at and shown < repeats.HOPS:
+        if now + PAUSE_S < call.give_up_at and shown < calls.HOPS:
             call.tried.clear()
             self.rt.at(now + PAUSE_S, AgainTimer(number=call.number))
             return
@@ -452,11 +431,22 @@
             self.rt.emit(effects.Abort(conn=call.conn))
             self._finish(now, call, "aborted", reason)
             return
-        if self.repeats.may_repeat(now, call):
-            self._try(now, call)
+        if call.may_repeat(now):
+            self._repeat(now, call, reason)
             return
-        if not self.repeats.waits_for_loan(now, call):
-            self._give_up(now, call, MAYBE_RUN_STATUS, reason)
+        self._give_up(now, call, MAYBE_RUN_STATUS, reason)
+
+    def _reply(self, call: calls.Call, message: messages.Answer) -> None:
+        self.rt.emit(
+            effects.Reply(
+                conn=call.conn,
+                status=message.status,
+                fields=message.fields,
+                body=message.body,
+                more=message.more,
+                total=message.total,
+            )
+        )
 
     def _address(self, peer: peers.Peer | None) -> str:
         return self.rt.identity.address if peer is None else peer.address
@@ -479,7 +469,14 @@
         self._finish(now, call, "refused", reason)
 
     def _give_up(self, now: float, call: calls.Call, status: int, reason: str) -> None:
-        """Tell a caller that nothing is known of its request's fate."""
+        """Tell a caller that nothing is known of its request's fate.
+
+        Where a server has answered with a failure of its own, that is what it gets.
+        """
+        if call.failed is not None:
+            self._reply(call, call.failed)
+            self._finish(now, call, "answered", str(call.failed.status))
+            return
         self.rt.emit(effects.Decline(conn=call.conn, status=status, reason=reason))
         self._finish(now, call, "unknown", reason)
 
@@ -511,7 +508,6 @@
     def _finish(self, now: float, call: calls.Call, outcome: str, reason: str) -> None:
         self.by_conn.pop(call.conn, None)
         self.by_number.pop(call.number, None)
-        self.repeats.short.pop(call.number, None)
         if call.parent is not None:
             call.parent.calls += 1
         call.note(self.rt, outcome, reason, ms=round(1000 * (now - call.started), 1))
--- a/tests/mesh/test_budget.py
+++ b/tests/mesh/test_budget.py
@@ -1,76 +1,123 @@
 from __future__ import annotations
 
-import random
-
 from ferrydeck.mesh import budget
 
+RATIO, SLACK, WINDOW_S = 0.2, 48.0, 10.0
 
-def made(daemons: int = 1, seed: int = 1) -> budget.RetryBudget:
-    return budget.RetryBudget(
-        ratio=0.2, slack=48, window_s=10, daemons=daemons, rng=random.Random(seed)
-    )
 
+def made(gates: int = 1) -> budget.RepeatBudget:
+    return budget.RepeatBudget(ratio=RATIO, slack=SLACK, window_s=WINDOW_S, gates=gates)
 
-def spend_all(shared: budget.RetryBudget, now: float) -> int:
-    count = 0
-    while shared.may_spend(now, "desk"):
-        count += 1
-    return count
 
+def ask(repeats: budget.RepeatBudget, begin: float, seconds: float, per_s: int) -> None:
+    for number in range(int(seconds * per_s)):
+        repeats.first(begin + number / per_s, number % 2)
 
-def test_fifteen_daemons_stay_within_ratio_and_slack_together():
-    daemons = [made(15, seed) for seed in range(15)]
-    spent = requests = 0
-    for step in range(1000):
-        for shared in daemons:
-            shared.fresh(step * 0.01, "desk")
-            requests += 1
-            spent += spend_all(shared, step * 0.01)
-    assert 0 < spent <= 0.2 * budget.SHARE * requests + 48 * budget.SLACK_SHARE
 
+def test_no_window_has_more_offers_than_its_requests_allow():
+    repeats = made()
+    firsts, granted = [], []
+    for step in range(6000):
+        now = step * 0.01
+        if step % 2000 < 700:
+            repeats.first(now, 1)
+            firsts.append(now)
+        if repeats.grants_shed(now, 1):
+            granted.append(now)
+    for end in range(10, 61):
+        spent = sum(end - WINDOW_S < one <= end for one in granted)
+        windows = [(end - back - WINDOW_S, end - back) for back in (0, 5, 10)]
+        most = max(sum(a < one <= b for one in firsts) for a, b in windows)
+        assert spent <= RATIO * most + SLACK, end
+    assert granted
 
-def test_without_requests_only_the_slack_is_spent():
-    daemons = [made(15, seed) for seed in range(15)]
-    spent = sum(
-        spend_all(shared, step * 0.1) for step in range(100) for shared in daemons
+
+def test_requests_of_the_window_before_still_count_when_callers_give_up():
+    repeats = made()
+    ask(repeats, 0.0, 10.0, 100)
+    granted = sum(
+        repeats.grants_shed(10.5 + number * 0.005, 0) for number in range(1000)
+    )
+    # Windows that end 7.5 s later have three quarters of the requests at best.
+    bound = RATIO * budget.SHARE * 750 + SLACK * budget.SLACK_SHARE
+    assert 0.95 * bound < granted <= bound
+
+
+def test_requests_that_may_have_run_are_counted_too():
+    repeats = made()
+    ask(repeats, 0.0, 10.0, 100)
+    for number in range(100):
+        repeats.repeated(10.0 + number * 0.001)
+    granted = sum(
+        repeats.grants_shed(10.5 + number * 0.005, 0) for number in range(1000)
     )
-    assert 0 < spent <= 48 * budget.SLACK_SHARE * 1.25
+    assert granted < RATIO * 1000 - 100
 
 
-def test_a_share_never_grows_when_daemons_are_missing():
-    shared = made()
-    shared.see_daemons(15)
-    shared.see_daemons(3)
-    assert shared.daemons == 15
+def shed_half(repeats: budget.RepeatBudget, now: float, rank: int) -> bool:
+    repeats.offered(now)
+    repeats.offered(now)
+    return repeats.grants_shed(now, rank)
 
 
-def test_what_is_lent_is_taken_off_the_lenders_share():
-    one = made(15)
-    other = made(15)
-    lent = one.lend(0.0, "desk")
-    assert lent > 0
-    assert not one.may_spend(0.0, "desk")
-    other.receive(0.0, "desk", lent)
-    assert spend_all(other, 0.0) <= 2 * 48 * budget.SLACK_SHARE / 15
+def test_urgent_requests_get_offers_before_the_others():
+    repeats = made()
+    ask(repeats, 0.0, 10.0, 100)
+    urgent = lower = 0
+    for number in range(900):
+        now = 10.5 + number * 0.01
+        lower += shed_half(repeats, now, 1)
+        urgent += shed_half(repeats, now, 0)
+    assert urgent > 100
+    assert lower < 5
 
 
-def test_many_daemons_hold_no_more_than_the_slack_together():
-    daemons = [made(100) for _ in range(100)]
-    for shared in daemons:
-        for step in range(100):
-            shared.fresh(step * 0.1, "desk")
-    lent = sum(shared.lend(10.0, "desk") for shared in daemons)
-    assert 0 < lent <= 48 * budget.SLACK_SHARE
+def test_others_get_offers_where_the_urgent_need_few():
+    repeats = made()
+    ask(repeats, 0.0, 10.0, 100)
+    for number in range(100):
+        repeats.offered(10.5 + number * 0.001)
+    assert repeats.grants_shed(10.6, 0)
+    assert repeats.grants_shed(10.6, 1)
 
 
-def test_a_share_below_one_repeat_is_spent_all_the_same():
-    daemons = [made(100, seed) for seed in range(100)]
-    requests = spent = 0
-    for step in range(300):
-        for shared in daemons:
-            shared.fresh(step * 0.1, "desk")
+def test_gates_share_the_slack_also_when_some_are_not_seen_any_more():
+    repeats = made()
+    repeats.see_gates(4)
+    repeats.see_gates(2)
+    granted = sum(repeats.grants_shed(0.6, 0) for _ in range(100))
+    assert granted == int(SLACK * budget.SLACK_SHARE / 4)
+
+
+def test_four_gates_stay_within_ratio_and_slack_together():
+    gates = [made(4) for _ in range(4)]
+    granted = requests = 0
+    for step in range(1000):
+        now = step * 0.01
+        for gate in gates:
+            gate.first(now, 1)
             requests += 1
-            spent += shared.may_spend(step * 0.1, "desk")
-    whole = 0.2 * budget.SHARE * requests
-    # By lot: a tenth is three standard deviations and the slack.
-    assert 0.9 * whole < spent < 1.1 * whole
+            granted += gate.grants_repeat(now, makes_calls=False)
+            granted += gate.grants_shed(now, 1)
+    assert 0 < granted <= RATIO * requests + SLACK
+
+
+def test_without_requests_only_the_slack_is_spent():
+    gates = [made(4) for _ in range(4)]
+    granted = sum(
+        gate.grants_repeat(step * 0.1, makes_calls=False)
+        for step in range(100)
+        for gate in gates
+    )
+    assert 0 < granted <= SLACK
+
+
+def test_second_runs_that_make_calls_get_a_smaller_part():
+    calling, plain = made(), made()
+    for one in (calling, plain):
+        ask(one, 0.0, 10.0, 100)
+    granted = [
+        sum(one.grants_repeat(10.0, makes_calls=calls) for _ in range(500))
+        for one, calls in ((calling, True), (plain, False))
+    ]
+    assert 0 < granted[0] < 0.4 * granted[1]
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -511,12 +511,12 @@
     assert all(one.suspect(world.now) or not one.open for one in suspects)
 
 
-def test_requests_of_a_lost_box_are_repeated_with_what_others_have_unspent():
+def test_requests_of_a_lost_box_are_repeated_by_what_the_other_gates_have_unspent():
     world = samples.world_of(15, slots=40, work_s=1.0)
     asked = [samples.ask(world, "box-0") for _ in range(150)]
     world.run(0.3)
     at_lost = [one for one in world.runs if one.box == "box-1"]
-    # More than the share of one daemon, which is 1.6 and a part of the requests.
+    # More than one gate may run again of its own part, which is 2.4 and a part.
     assert len(at_lost) >= 8
     world.kill(world.boxes["box-1"], 30)
     world.run(2.5)
--- a/tests/net/test_deflate.py
+++ b/tests/net/test_deflate.py
@@ -34,7 +34,7 @@
         repeatable=True,
         came_back=False,
         first=True,
-        repeat=False,
+        repeat=messages.Repeat.NO,
     )
     return messages.encode(message)
 
