Refuse soon what has no gate in reach; send silent boxes nothing new; close gates later

At 24 s rolling restarts kept two of three roastlog gates closed: 2.4 s a restart, of which the process stood ready for half. Change: without an open gate a request of the lowest rank looks for 0.15 s, others 0.4 s; it is told a time at which an answer is still in time. A silent box gets nothing new. At a planned stop the gate closes 2.4 s after the signal, not 1.2 s.

--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -9,7 +9,6 @@
 FAR_PENALTY = 0.6
 """What another zone adds to a gate's load over its slots: bytes between zones are
 priced, and a near gate at two thirds of its slots answers as fast as a free one."""
-SUSPECT_PENALTY = 3.0
 FAILED_PENALTY = 1.5
 """What a server that fails or refuses all requests adds to its load."""
 COLD_PENALTY = 0.3
@@ -72,7 +71,11 @@
         tried: set[str],
         only: set[str] | None = None,
     ) -> Choice:
-        """Return the gate for a request, not one of `tried`, and one of `only`."""
+        """Return the gate for a request, not one of `tried`, and one of `only`.
+
+        A silent box gets nothing new, also where it is the only one: what is sent there
+        may have run, while a refusal lets its caller come back.
+        """
         candidates = self._candidates(service)
         self._fastest_ms = self._fastest(service, candidates)
         self._least_failed = self._fewest_failures(now, service, candidates)
@@ -89,7 +92,7 @@
             best = Own(instance=self.gate.server.instance)
             best_score = self._own_score(now)
         for peer in candidates:
-            if peer.address in tried or not peer.open:
+            if peer.address in tried or not peer.open or peer.suspect(now):
                 continue
             if only is not None and peer.address not in only:
                 continue
@@ -123,8 +126,6 @@
         score = peer.busy(now) / max(1, state.slots)
         if peer.zone != self.rt.identity.zone:
             score += FAR_PENALTY
-        if peer.suspect(now):
-            score += SUSPECT_PENALTY
         if state.cold_s > 0:
             score += COLD_PENALTY
         score += self._pace_penalty(peer.pace_ms)
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -21,9 +21,10 @@
     servers,
 )
 
-GATE_CLOSES_S = 1.2
-"""From a signal to stop until the gate takes no new work, seconds: callers of this
-box need two missed checks of readiness, a second apart, to go elsewhere."""
+GATE_CLOSES_S = 2.4
+"""From a signal to stop until the gate takes no new work, seconds: the process has to
+stay for its callers anyway, and what is let in until then ends by the time they have
+left. Its server then stands idle for half as long as if the gate closed at once."""
 STAY_S = 3.0
 """From a signal to stop until the process may end, seconds: the same checks, and
 requests that were sent before the second one."""
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -20,12 +20,21 @@
 CAME_BACK_S = 0.3
 """A caller that states this much less than the most that callers of the route state
 has waited before, seconds: it was told to come back no sooner."""
+NO_GATE_S = 0.15
+"""How long a request of the lowest rank looks for an open gate, seconds: one that opens
+again after a restart says so within a tenth. Longer waits are mostly in vain, since the
+last server of a service in reach has gone."""
+URGENT_NO_GATE_S = 0.4
+"""The same for requests of higher ranks, seconds: a daemon restarts in that time."""
 PAUSE_S = 0.03
 """Pause before a request is tried again for which no gate was open, seconds."""
 DEADLINE_SLACK_S = 0.02
 """How long before its deadline a request gets its final answer, seconds."""
 RETRY_AFTER_S = 0.3
-"""When a caller is told to come back where no gate said so, seconds."""
+"""When a caller is told to come back at the earliest where no gate said so, seconds."""
+RETURN_SHARE = 0.6
+"""Part of the time in which an answer would not be late after which a caller is told to
+come back where no gate said so: the rest is for the second try."""
 STARTING_RETRY_S = 1.0
 """When a caller is told to come back that a daemon without policy refused."""
 SILENT_EVERY_S = 0.1
@@ -411,11 +420,20 @@
     def _nobody(self, now: float, call: calls.Call, known: int) -> None:
         """Look again soon, as long as a refusal is still early."""
         shown = call.hops - call.offered
-        if now + PAUSE_S < call.give_up_at and shown < calls.HOPS:
+        looks_s = NO_GATE_S if call.lowest else URGENT_NO_GATE_S
+        ends = min(call.give_up_at, call.started + looks_s)
+        if now + PAUSE_S < ends and shown < calls.HOPS:
             call.tried.clear()
             self.rt.at(now + PAUSE_S, AgainTimer(number=call.number))
             return
-        self._refuse(now, call, messages.Reason.NO_SERVER, RETRY_AFTER_S)
+        after_s = self._retry_after_s(now, call)
+        self._refuse(now, call, messages.Reason.NO_SERVER, after_s)
+
+    def _retry_after_s(self, now: float, call: calls.Call) -> float:
+        """Return when a caller may come back whom no gate told a time, spread."""
+        spread = 0.75 + 0.5 * self.rt.rng.random()
+        in_time_s = RETURN_SHARE * (call.late_at - now) * spread
+        return max(RETRY_AFTER_S, in_time_s)
 
     def _no_time(self, now: float, call: calls.Call) -> None:
         if call.may_have_run:
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -524,3 +524,15 @@
     lost = [one for one in asked if one.request_id in ids]
     assert told_all(lost).count(200) == len(lost)
     assert mesh_world.faults(world) == []
+
+
+def test_a_lookup_without_any_open_gate_is_refused_soon_and_told_a_time_of_use():
+    world = samples.world_of(2)
+    for box in world.boxes.values():
+        world.drain(box)
+    world.run(0.5)
+    asked = samples.ask(world, "box-0")
+    world.run(0.3)
+    assert asked.told.status == 503
+    # The route's target is 1 s from the first try.
+    assert 0.3 <= asked.told.retry_after_s < 1.0
