Leave a near server before it is full; a switch for each mechanism

Change: above three quarters of its slots a gate's load counts five times. mesh/tuning and [tuning] in the settings: a truth value a mechanism, checked, for ablations without edits.

--- a/ferrydeck/config/mesh_settings.py
+++ b/ferrydeck/config/mesh_settings.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ferrydeck.config import findings, options, settings
-from ferrydeck.mesh import runtime
+from ferrydeck.mesh import runtime, tuning
 from ferrydeck.platform import terms
 
 ANY_NAME = options.Text(pattern=r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
@@ -62,6 +62,10 @@
     )
     """What was agreed for the deployment, as the platform states it."""
     report_interval: str = options.option(FREE_TEXT, default="")
+    tuning: Mapping[str, bool] = options.option(
+        options.Table(item=options.Flag()), default=types.MappingProxyType({})
+    )
+    """Mechanisms of the policy that are switched off for a measurement."""
     log: LogLimits = options.option(options.Section(cls=LogLimits), default=LogLimits())
 
     @property
@@ -90,9 +94,18 @@
         used[address] = name
     if cfg.link_port == cfg.metrics_port:
         report.add("metrics_port", "the same port as link_port")
+    switches = [field.name for field in attrs.fields(tuning.Tuning)]
+    for name in cfg.tuning:
+        if name not in switches:
+            report.add(f"tuning.{name}", options.unknown_key(name, switches))
     terms.read(cfg.terms, cfg.report_interval, report)
 
 
+def tuning_of(cfg: Settings) -> tuning.Tuning:
+    """Return the switches of the policy."""
+    return tuning.Tuning(**cfg.tuning)
+
+
 def terms_of(cfg: Settings) -> runtime.Terms:
     """Return the terms of the deployment; settings that were loaded have no faults."""
     return terms.read(cfg.terms, cfg.report_interval, findings.Report(file=""))
--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -9,6 +9,12 @@
 FAR_PENALTY = 0.6
 """What another zone adds to a gate's load over its slots: bytes between zones are
 priced, and a near gate at two thirds of its slots answers as fast as a free one."""
+NEARLY_FULL = 0.75
+"""Part of its slots from which on a gate's load counts for more."""
+NEARLY_FULL_WEIGHT = 4.0
+"""What the load above that counts more: a near gate at seven eighths of its slots then
+scores as one in another zone at three quarters. With less, a slow server fills up and
+turns work away while others in reach have room."""
 FAILED_PENALTY = 1.5
 """What a server that fails or refuses all requests adds to its load."""
 COLD_PENALTY = 0.3
@@ -114,8 +120,8 @@
         return least < OUTLIER_SHARE * failed
 
     def _own_score(self, now: float) -> float:
-        score = self.gate.busy / self.gate.limit
-        if now < self.gate.server.cold_until:
+        score = self._load_score(self.gate.busy / self.gate.limit)
+        if now < self.gate.server.cold_until and self.rt.tuning.avoid_cold:
             score += COLD_PENALTY
         score += self._pace_penalty(self.gate.pace_ms)
         failed = self.gate.health.failed(now)
@@ -123,10 +129,10 @@
 
     def _score(self, now: float, peer: peers.Peer) -> float:
         state = peer.gate
-        score = peer.busy(now) / max(1, state.slots)
-        if peer.zone != self.rt.identity.zone:
+        score = self._load_score(peer.busy(now) / max(1, state.slots))
+        if peer.zone != self.rt.identity.zone and self.rt.tuning.prefer_near:
             score += FAR_PENALTY
-        if state.cold_s > 0:
+        if state.cold_s > 0 and self.rt.tuning.avoid_cold:
             score += COLD_PENALTY
         score += self._pace_penalty(peer.pace_ms)
         return score + self._failed_penalty(peer.failed(now)) + self._jitter()
@@ -148,7 +154,8 @@
         return min(shares, default=0.0)
 
     def _pace_penalty(self, pace_ms: int) -> float:
-        if not pace_ms or not self._fastest_ms:
+        known = pace_ms and self._fastest_ms
+        if not known or not self.rt.tuning.prefer_fast:
             return 0.0
         return min(PACE_MOST, PACE_PENALTY * (pace_ms / self._fastest_ms - 1.0))
 
@@ -159,11 +166,19 @@
         when the cause lies behind them, small differences would send all requests of
         a service to one of them.
         """
+        if not self.rt.tuning.avoid_failing:
+            return 0.0
         alike = self._least_failed >= OUTLIER_SHARE * failed
         if failed < FAILED_LEAST or alike or self.rt.rng.random() < FAILED_PROBE:
             return 0.0
         return FAILED_PENALTY * failed
 
+    def _load_score(self, load: float) -> float:
+        """Return what a gate's load adds, as a part of its slots."""
+        if not self.rt.tuning.spill_early:
+            return load
+        return load + NEARLY_FULL_WEIGHT * max(0.0, load - NEARLY_FULL)
+
     def _jitter(self) -> float:
         """Spread requests over gates that stand alike."""
         return 0.05 * self.rt.rng.random()
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -19,6 +19,7 @@
     registry,
     runtime,
     servers,
+    tuning,
 )
 
 GATE_CLOSES_S = 2.4
@@ -77,6 +78,7 @@
     identity: runtime.Identity
     rng: random.Random
     terms: runtime.Terms = runtime.Terms()
+    tuning: tuning.Tuning = tuning.Tuning()
     seeds: tuple[str, ...] = ()
     rt: runtime.Runtime = attrs.field(init=False)
     peers: peers.Peers = attrs.field(init=False)
@@ -91,7 +93,9 @@
     _asked_at: float = -1e9
 
     def __attrs_post_init__(self) -> None:
-        rt = runtime.Runtime(identity=self.identity, rng=self.rng, terms=self.terms)
+        rt = runtime.Runtime(
+            identity=self.identity, rng=self.rng, terms=self.terms, tuning=self.tuning
+        )
         self.rt = rt
         self.peers = peers.Peers(rt=rt)
         self.gate = gate.Gate(rt=rt, reply=self._reply, announce=self._announce)
@@ -296,7 +300,7 @@
             sent_s=now,
         )
         self._send_back(link, welcome)
-        if hello.zone != self.identity.zone:
+        if hello.zone != self.identity.zone and self.tuning.compress_far:
             self.rt.emit(effects.DeflateBack(link=link))
         self._ask_back(now, link, hello.version)
 
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -330,7 +330,7 @@
             return messages.Reason.INSTANCE
         if forward.instance != self.server.instance:
             return messages.Reason.INSTANCE
-        if self._stalled(now):
+        if self.rt.tuning.notice_stalled and self._stalled(now):
             return messages.Reason.CLOSED
         if forward.lowest and self._turns_away(now, forward):
             return messages.Reason.PRESSURE
@@ -342,8 +342,10 @@
 
     def _turns_away(self, now: float, forward: messages.Forward) -> bool:
         """Tell whether a request is held back for what is short of room."""
-        share = min(PRICED_MOST, self.costs.price(now, forward.route))
-        if forward.came_back:
+        share = 0.0
+        if self.rt.tuning.price_slots:
+            share = min(PRICED_MOST, self.costs.price(now, forward.route))
+        if forward.came_back and self.rt.tuning.favour_returned:
             share *= share
         return self.controls.route(forward.route).turns_away(now, share)
 
@@ -383,7 +385,8 @@
         """Have a request wait, or refuse what is least urgent."""
         hold_s = self.costs.hold_s(job.forward.route)
         wait_s = self.waiting.ahead_s(job.rank, hold_s) / self.limit
-        self.waiting.push(job.rank, job, hold_s)
+        weight = hold_s if self.rt.tuning.weigh_slot_time else self.costs.mean_hold_s
+        self.waiting.push(job.rank, job, weight)
         if wait_s > job.wait_until - now:
             self._drop(now, job)
         elif len(self.waiting) > QUEUE_MOST * self.limit:
@@ -446,7 +449,8 @@
         Where runs make no calls nothing behind the server can be the cause, and the
         choice of a server deals with one that fails by itself.
         """
-        if not self.costs.makes_calls(job.forward.route):
+        hangs_on_calls = self.costs.makes_calls(job.forward.route)
+        if not hangs_on_calls or not self.rt.tuning.turn_away_failing:
             return
         late = now > job.arrived + job.forward.target_s > job.arrived
         weight = 1.0 if failed else LATE_WEIGHT * late
@@ -466,7 +470,9 @@
         self.health.ended(now, failed=True)
         if facts.instance and facts.instance != self.server.instance:
             self.server.replaced(now, facts.instance)
-        again = self.budget.grants_shed(now, job.rank)
+        rank = job.rank if self.rt.tuning.keep_offers_for_urgent else 0
+        grants = self.rt.tuning.offer_shed_again
+        again = grants and self.budget.grants_shed(now, rank)
         reason = messages.Reason.SERVER_REFUSED
         self._refuse(now, job, reason, offered=True, again=again)
         self._next(now)
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -137,7 +137,8 @@
         self._told(now, call, peer, message)
         failed = message.status >= 500
         outlier = failed and self.chooser.outlier(now, peer, call.service)
-        if outlier and not message.more and call.may_repeat(now):
+        again = outlier and self.rt.tuning.repeat_failed
+        if again and not message.more and call.may_repeat(now):
             call.failed = message
             self._repeat(now, call, "failed")
             return
@@ -230,7 +231,7 @@
                     self._move(now, call)
 
     def _move(self, now: float, call: calls.Call) -> None:
-        if call.may_repeat(now):
+        if self.rt.tuning.move_from_silent and call.may_repeat(now):
             self._withdraw(now, call)
             self._repeat(now, call, "silent")
 
@@ -250,7 +251,9 @@
         service = self.splits.service(route, self.rt.rng.random())
         parent = self._parent(now, request, route)
         waited_s = self._waited_s(route, request) if parent is None else 0.0
-        rank = route.priority if parent is None else min(route.priority, parent.rank)
+        rank = route.priority
+        if parent is not None and self.rt.tuning.pass_rank_on:
+            rank = min(rank, parent.rank)
         return calls.Call(
             number=self.rt.number(),
             conn=request.conn,
--- a/ferrydeck/mesh/peers.py
+++ b/ferrydeck/mesh/peers.py
@@ -233,7 +233,7 @@
         peer.box = message.box
         peer.incarnation = message.incarnation
         peer.zone = message.zone
-        if peer.zone != self.rt.identity.zone:
+        if peer.zone != self.rt.identity.zone and self.rt.tuning.compress_far:
             self.rt.emit(effects.Deflate(address=peer.address))
         self.rt.note(
             "link-regained", peer=peer.box, address=peer.address, restarted=fresh
--- a/ferrydeck/mesh/runtime.py
+++ b/ferrydeck/mesh/runtime.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from ferrydeck.mesh import effects, messages, policy
+from ferrydeck.mesh import effects, messages, policy, tuning
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -44,6 +44,7 @@
     identity: Identity
     rng: random.Random
     terms: Terms = Terms()
+    tuning: tuning.Tuning = tuning.Tuning()
     policy: policy.Policy | None = None
     stopping: bool = False
     out: list[effects.Effect] = attrs.Factory(list)
--- a/ferrydeck/mesh_daemon.py
+++ b/ferrydeck/mesh_daemon.py
@@ -43,6 +43,7 @@
         ),
         rng=random.Random(),
         terms=mesh_settings.terms_of(cfg),
+        tuning=mesh_settings.tuning_of(cfg),
         seeds=cfg.seed_links,
     )
 
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -536,3 +536,19 @@
     assert asked.told.status == 503
     # The route's target is 1 s from the first try.
     assert 0.3 <= asked.told.retry_after_s < 1.0
+
+
+def test_work_goes_to_another_zone_before_a_near_server_is_full():
+    world = samples.world_of(2, zones=2, slots=20, work_s=0.1)
+    # The near server carries 190 a second; the far one has half of its slots taken.
+    near = []
+    for step in range(600):
+        near.append(samples.ask(world, "box-0"))
+        if step % 2 == 0:
+            samples.ask(world, "box-1")
+        world.run(0.0055)
+    world.run(1)
+    ids = {one.request_id for one in near}
+    far = sum(one.box == "box-1" and one.request_id in ids for one in world.runs)
+    assert told_all(near) == [200] * 600
+    assert far > 0.1 * len(near)
--- /dev/null
+++ b/tests/unit/test_tuning.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+from ferrydeck.config import findings, mesh_settings
+
+SETTINGS = """
+box = "box-1"
+data_centre = "hall"
+region = "coast"
+ip = "10.0.0.1"
+service = "desk"
+target = "10.0.0.1:80"
+calls = "10.0.0.1:81"
+ready = "10.0.0.1:82"
+reports = "10.0.0.1:83"
+store = "10.0.0.9:84"
+link_port = 7000
+metrics_port = 9464
+"""
+
+
+def loaded(tmp_path, more: str = "") -> mesh_settings.Settings | findings.Rejected:
+    path = tmp_path / "daemon.toml"
+    path.write_text(SETTINGS + more)
+    return mesh_settings.load(str(path))
+
+
+def test_all_mechanisms_are_on_where_nothing_is_said(tmp_path):
+    tuning = mesh_settings.tuning_of(loaded(tmp_path))
+    assert tuning.price_slots
+    assert tuning.compress_far
+
+
+def test_a_mechanism_can_be_switched_off(tmp_path):
+    cfg = loaded(tmp_path, "[tuning]\nprice_slots = false\n")
+    assert not mesh_settings.tuning_of(cfg).price_slots
+    assert mesh_settings.tuning_of(cfg).pass_rank_on
+
+
+def test_all_that_is_wrong_with_switches_is_reported_with_its_place(tmp_path):
+    more = "[tuning]\nprise_slots = false\ncompress_far = 1\n"
+    rejected = loaded(tmp_path, more)
+    assert isinstance(rejected, findings.Rejected)
+    assert "tuning.compress_far" in str(rejected)
+    more = "[tuning]\nprise_slots = false\n"
+    assert "price_slots" in str(loaded(tmp_path, more))
