Split the gate and the callers' side by concern

Change: mesh/admission (what is held back and when it may come back), mesh/jobs, mesh/intake (what a request is made into), mesh/replies; no decision is meant to change.

--- /dev/null
+++ b/ferrydeck/mesh/admission.py
@@ -0,0 +1,114 @@
+"""What a gate holds back before it has used anything, and when it may come back.
+
+Two things speak against a request of the lowest rank: the price of what its run would
+use (`pricing`), and that runs of its route fail behind the server (`pressure`).
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import jobs, messages, pressure, pricing, runtime
+
+HOLD_START_S = 0.1
+"""What a request is taken to hold a slot for until one has ended, seconds."""
+RETRY_AFTER_LEAST_S = 0.05
+RETRY_AFTER_MOST_S = 2.0
+"""Bounds of the time after which a refused caller is told to come back, seconds."""
+PRESSURE_RETRY_S = 0.5
+"""When a request is told to come back at the earliest that was held back for what is
+short of room, seconds: two windows of the control."""
+RETURN_MARGIN_S = 0.1
+"""Time that a caller that comes back is given for its way, seconds."""
+PRICE_NOTE_S = 1.0
+"""Pause between two lines of the log on the price, seconds."""
+PRICED_MOST = 0.8
+"""The most that a price turns away of a route, so that no kind of request goes
+without: a quarter of what all get is the least that users accept."""
+LATE_WEIGHT = 0.5
+"""What a late answer counts beside a failed one: it earns a third to a half."""
+
+
+@attrs.define(kw_only=True)
+class Admission:
+    """What the routes of one server cost, and which share of them is held back."""
+
+    rt: runtime.Runtime
+    costs: pricing.Costs = attrs.Factory(
+        lambda: pricing.Costs(start_hold_s=HOLD_START_S)
+    )
+    controls: pressure.Pressure = attrs.Factory(pressure.Pressure)
+    _told_price_at: float = -1e9
+
+    def holds_back(self, now: float, forward: messages.Forward) -> bool:
+        """Tell whether a request is held back for what is short of room."""
+        share = 0.0
+        if self.rt.tuning.price_slots:
+            share = min(PRICED_MOST, self.costs.price(now, forward.route))
+        if forward.came_back and self.rt.tuning.favour_returned:
+            share *= share
+        return self.controls.route(forward.route).turns_away(now, share)
+
+    def settle(self, now: float, *, limit: int, running: int, waiting_s: float) -> None:
+        """Set the price anew, and have it logged now and then while there is one.
+
+        `waiting_s` is the slot time that the requests in the queue wait for.
+        """
+        price = self.costs.slots
+        price.settle(now, limit, waiting_s)
+        if not price.value or now < self._told_price_at + PRICE_NOTE_S:
+            return
+        self._told_price_at = now
+        self.rt.note(
+            "price",
+            outcome="set",
+            price=round(price.value, 2),
+            offered=round(price.mean, 2),
+            waiting_s=round(waiting_s / limit, 3),
+            running=running,
+            limit=limit,
+            mean_hold_s=round(self.costs.mean_hold_s, 3),
+        )
+
+    def price_pct(self, job: jobs.Job) -> int:
+        """Return what the run of a job has cost, in hundredths."""
+        price = self.costs.own_price(job.forward.route) + job.price
+        return round(100 * price)
+
+    def refused_price_pct(self, now: float, job: jobs.Job) -> int:
+        """Return what the run of a job would have cost, in hundredths."""
+        return round(100 * self.costs.price(now, job.forward.route))
+
+    def called(self, now: float, parent: jobs.Job, price: float) -> None:
+        """Note what a call of a run has cost, or would have."""
+        parent.price += price
+        self.costs.route(parent.forward.route).called(now, price)
+
+    def answered(self, now: float, job: jobs.Job, *, failed: bool) -> None:
+        """Have an answer count for how much of its route is turned away.
+
+        Where runs make no calls nothing behind the server can be the cause, and the
+        choice of a server deals with one that fails by itself.
+        """
+        hangs_on_calls = self.costs.makes_calls(job.forward.route)
+        if not hangs_on_calls or not self.rt.tuning.turn_away_failing:
+            return
+        late = now > job.arrived + job.forward.target_s > job.arrived
+        weight = 1.0 if failed else LATE_WEIGHT * late
+        self.controls.route(job.forward.route).ended(now, weight)
+
+    def retry_after_s(
+        self, reason: messages.Reason, job: jobs.Job, *, limit: int, waiting_s: float
+    ) -> float:
+        """Return when there will be room again, spread so that callers are too.
+
+        While work is held back there is no such time: the caller is told one at which
+        an answer is still in time for it, so that its second try is worth a first one.
+        """
+        hold_s = self.costs.hold_s(job.forward.route)
+        clear_s = (waiting_s + hold_s) / limit
+        spread = 0.75 + 0.5 * self.rt.rng.random()
+        if reason is messages.Reason.PRESSURE:
+            in_time_s = job.forward.target_s - hold_s - RETURN_MARGIN_S
+            clear_s = max(PRESSURE_RETRY_S, in_time_s / 1.25)
+        return min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, clear_s * spread))
--- a/ferrydeck/mesh/calls.py
+++ b/ferrydeck/mesh/calls.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ferrydeck.mesh import events, gate, messages, peers, policy, runtime
+from ferrydeck.mesh import events, jobs, messages, peers, policy, runtime
 
 HOPS = 5
 """Gates that one request is shown to at most, those that refuse it included."""
@@ -49,7 +49,7 @@
     """Rank in the order of shedding: its route's, or that of the run it is made for."""
     lowest: bool = False
     """Whether it is a caller's own request of the rank that is shed first."""
-    parent: gate.Job | None = None
+    parent: jobs.Job | None = None
     """The run at this box's server that it is a call of."""
     came_back: bool = False
     """Whether its caller was told before to come back later."""
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -12,6 +12,8 @@
     effects,
     events,
     gate,
+    intake,
+    jobs,
     messages,
     origin,
     peers,
@@ -101,6 +103,7 @@
         self.gate = gate.Gate(rt=rt, reply=self._reply, announce=self._announce)
         self.origin = origin.Origin(
             rt=rt,
+            intake=intake.Intake(rt=rt, gate=self.gate),
             peers=self.peers,
             chooser=choosing.Chooser(rt=rt, peers=self.peers, gate=self.gate),
             gate=self.gate,
@@ -335,7 +338,7 @@
             return
         old = self.rt.version
         self.rt.policy = new
-        self.origin.splits.clear()
+        self.origin.intake.splits.clear()
         self.rt.note("policy-in-force", version=new.version, old=old, source=source)
         limits = new.limits
         self.rt.emit(
@@ -349,7 +352,7 @@
         self._announce(now)
         self.gate.server.probe(now)
 
-    def _reply(self, now: float, job: gate.Job, message: messages.Any) -> None:
+    def _reply(self, now: float, job: jobs.Job, message: messages.Any) -> None:
         """Carry a gate's word back to where the request began."""
         if job.link != gate.OWN:
             self._send_back(job.link, message)
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -13,14 +13,14 @@
 import attrs
 
 from ferrydeck.mesh import (
+    admission,
     budget,
     effects,
     events,
     health,
+    jobs,
     lineage,
     messages,
-    pressure,
-    pricing,
     queueing,
     runtime,
     servers,
@@ -35,30 +35,13 @@
 a new connection or a health check may hold a slot too."""
 UNKNOWN_SLOTS = 8
 """Requests at a server at once while its slots are not known."""
-HOLD_START_S = 0.1
-"""What a request is taken to hold a slot for until one has ended, seconds."""
 HELD_LEAST = 20
 """Requests that a server has held before others are told how long it takes."""
 QUEUE_MOST = 4
 """Requests that wait at most, as a multiple of the slots."""
-RETRY_AFTER_LEAST_S = 0.05
-RETRY_AFTER_MOST_S = 2.0
-"""Bounds of the time after which a refused caller is told to come back, seconds."""
-PRESSURE_RETRY_S = 0.5
-"""When a request is told to come back at the earliest that was held back for what is
-short of room, seconds: two windows of the control."""
-RETURN_MARGIN_S = 0.1
-"""Time that a caller that comes back is given for its way, seconds."""
-PRICE_NOTE_S = 1.0
-"""Pause between two lines of the log on the price, seconds."""
-PRICED_MOST = 0.8
-"""The most that a price turns away of a route, so that no kind of request goes
-without: a quarter of what all get is the least that users accept."""
 STALL_S = 1.0
 """A server that holds requests and has answered nothing for this long, and whose
 last report is older than two intervals, takes no new work, seconds."""
-LATE_WEIGHT = 0.5
-"""What a late answer counts beside a failed one: it earns a third to a half."""
 OWN = 0
 """The link number of requests that began on this box."""
 
@@ -68,56 +51,28 @@
     """Time to look at the requests that wait."""
 
 
-@attrs.define(kw_only=True, eq=False)
-class Job:
-    """A request at the gate."""
-
-    dispatch: int
-    link: int
-    forward: messages.Forward
-    arrived: float
-    deadline: float
-    """When the caller waits no longer, on this daemon's clock."""
-    wait_until: float
-    """When it is refused if it has not been started."""
-    started: float = 0.0
-    streaming: bool = False
-    calls: int = 0
-    """Calls of its run that have ended."""
-    price: float = 0.0
-    """What these cost."""
-
-    @property
-    def rank(self) -> int:
-        """Return its rank in the order of shedding."""
-        return self.forward.priority
-
-
 @attrs.define(kw_only=True)
 class Gate:
     """Admits requests to the server of this box and carries their answers back."""
 
     rt: runtime.Runtime
-    reply: Callable[[float, Job, messages.Any], None]
+    reply: Callable[[float, jobs.Job, messages.Any], None]
     announce: Callable[[float], None]
     server: servers.ServerWatch = attrs.field(init=False)
     stopping: bool = False
-    running: dict[int, Job] = attrs.Factory(dict)
-    waiting: queueing.RankQueue[Job] = attrs.Factory(queueing.RankQueue)
-    controls: pressure.Pressure = attrs.Factory(pressure.Pressure)
-    costs: pricing.Costs = attrs.Factory(
-        lambda: pricing.Costs(start_hold_s=HOLD_START_S)
-    )
+    running: dict[int, jobs.Job] = attrs.Factory(dict)
+    waiting: queueing.RankQueue[jobs.Job] = attrs.Factory(queueing.RankQueue)
     parents: lineage.Lineage = attrs.Factory(lineage.Lineage)
     callers: lineage.Callers = attrs.Factory(lineage.Callers)
+    admission: admission.Admission = attrs.field(init=False)
     budget: budget.RepeatBudget = attrs.field(init=False)
     health: health.Health = attrs.Factory(health.Health)
-    by_number: dict[tuple[int, int], Job] = attrs.Factory(dict)
+    by_number: dict[tuple[int, int], jobs.Job] = attrs.Factory(dict)
     _queue_timer: bool = False
     _answered_at: float = 0.0
-    _told_price_at: float = -1e9
 
     def __attrs_post_init__(self) -> None:
+        self.admission = admission.Admission(rt=self.rt)
         terms = self.rt.terms
         self.budget = budget.RepeatBudget(
             ratio=terms.retry_ratio,
@@ -136,8 +91,8 @@
     @property
     def pace_ms(self) -> int:
         """How long the server holds a request, running mean; 0 while not known."""
-        known = self.costs.ended_runs >= HELD_LEAST
-        return int(1000 * self.costs.mean_hold_s) if known else 0
+        known = self.admission.costs.ended_runs >= HELD_LEAST
+        return int(1000 * self.admission.costs.mean_hold_s) if known else 0
 
     @property
     def limit(self) -> int:
@@ -190,21 +145,16 @@
             self._refuse(now, job, reason)
             return
         self.by_number[link, forward.number] = job
-        self.costs.slots.offered(self.costs.hold_s(forward.route))
+        self.admission.costs.slots.offered(self.admission.costs.hold_s(forward.route))
         if len(self.running) < self.limit and not self.waiting:
             self._start(now, job)
             return
         self._wait(now, job)
 
-    def parent(self, now: float, route: str, stated_s: float) -> Job | None:
+    def parent(self, now: float, route: str, stated_s: float) -> jobs.Job | None:
         """Return the run at this box's server that a request is a call of."""
         return self.parents.parent(now, route, stated_s, self.running.values())
 
-    def called(self, now: float, parent: Job, price: float) -> None:
-        """Note what a call of a run has cost, or would have."""
-        parent.price += price
-        self.costs.route(parent.forward.route).called(now, price)
-
     def cancel(self, now: float, link: int, number: int) -> None:
         """Drop a request that nobody waits for; one that must not repeat runs on."""
         job = self.by_number.get((link, number))
@@ -248,7 +198,7 @@
             self.rt.emit(effects.CancelDispatch(dispatch=event.dispatch))
             return
         self.health.ended(now, failed=event.status >= 500)
-        self._count_pressure(now, job, failed=event.status >= 500)
+        self.admission.answered(now, job, failed=event.status >= 500)
         if event.more:
             job.streaming = True
         else:
@@ -261,7 +211,7 @@
             more=event.more,
             total=event.total,
             load=self.load(now),
-            price_pct=self._price_pct(job),
+            price_pct=self.admission.price_pct(job),
             called=self.callers.by_servers(job.forward.route),
         )
         self.reply(now, job, answer)
@@ -307,10 +257,10 @@
 
     def _job(
         self, now: float, link: int, forward: messages.Forward, delay_s: float
-    ) -> Job:
+    ) -> jobs.Job:
         left_s = forward.left_s - delay_s
-        hold_s = self.costs.hold_s(forward.route)
-        return Job(
+        hold_s = self.admission.costs.hold_s(forward.route)
+        return jobs.Job(
             dispatch=self.rt.number(),
             link=link,
             forward=forward,
@@ -319,7 +269,7 @@
             wait_until=now + min(forward.wait_s - delay_s, left_s) - hold_s,
         )
 
-    def _fault(self, now: float, job: Job) -> messages.Reason | None:
+    def _fault(self, now: float, job: jobs.Job) -> messages.Reason | None:
         """Return why a request can't be taken, if it can't."""
         forward = job.forward
         if job.deadline - now < LEAST_LEFT_S:
@@ -332,45 +282,22 @@
             return messages.Reason.INSTANCE
         if self.rt.tuning.notice_stalled and self._stalled(now):
             return messages.Reason.CLOSED
-        if forward.lowest and self._turns_away(now, forward):
+        if forward.lowest and self.admission.holds_back(now, forward):
             return messages.Reason.PRESSURE
         if forward.repeat is messages.Repeat.MAY_HAVE_RUN:
-            makes_calls = self.costs.makes_calls(forward.route)
+            makes_calls = self.admission.costs.makes_calls(forward.route)
             if not self.budget.grants_repeat(now, makes_calls=makes_calls):
                 return messages.Reason.BUDGET
         return None
 
-    def _turns_away(self, now: float, forward: messages.Forward) -> bool:
-        """Tell whether a request is held back for what is short of room."""
-        share = 0.0
-        if self.rt.tuning.price_slots:
-            share = min(PRICED_MOST, self.costs.price(now, forward.route))
-        if forward.came_back and self.rt.tuning.favour_returned:
-            share *= share
-        return self.controls.route(forward.route).turns_away(now, share)
-
     def _settle(self, now: float) -> None:
-        price = self.costs.slots
-        price.settle(now, self.limit, self.waiting.hold_s)
-        if not price.value or now < self._told_price_at + PRICE_NOTE_S:
-            return
-        self._told_price_at = now
-        self.rt.note(
-            "price",
-            outcome="set",
-            price=round(price.value, 2),
-            offered=round(price.mean, 2),
-            waiting_s=round(self.waiting.hold_s / self.limit, 3),
-            running=len(self.running),
+        self.admission.settle(
+            now,
             limit=self.limit,
-            mean_hold_s=round(self.costs.mean_hold_s, 3),
+            running=len(self.running),
+            waiting_s=self.waiting.hold_s,
         )
 
-    def _price_pct(self, job: Job) -> int:
-        """Return what the run of a job has cost, in hundredths."""
-        price = self.costs.own_price(job.forward.route) + job.price
-        return round(100 * price)
-
     def _stalled(self, now: float) -> bool:
         """Tell whether the server has fallen silent."""
         quiet = now - self._answered_at > STALL_S
@@ -381,11 +308,15 @@
         beats = 2 * self.rt.terms.beat_s
         return silent_s > STALL_S and now - self.server.heard_at > beats
 
-    def _wait(self, now: float, job: Job) -> None:
+    def _wait(self, now: float, job: jobs.Job) -> None:
         """Have a request wait, or refuse what is least urgent."""
-        hold_s = self.costs.hold_s(job.forward.route)
+        hold_s = self.admission.costs.hold_s(job.forward.route)
         wait_s = self.waiting.ahead_s(job.rank, hold_s) / self.limit
-        weight = hold_s if self.rt.tuning.weigh_slot_time else self.costs.mean_hold_s
+        weight = (
+            hold_s
+            if self.rt.tuning.weigh_slot_time
+            else self.admission.costs.mean_hold_s
+        )
         self.waiting.push(job.rank, job, weight)
         if wait_s > job.wait_until - now:
             self._drop(now, job)
@@ -394,7 +325,7 @@
         self._next(now)
         self._keep_looking(now)
 
-    def _drop(self, now: float, job: Job) -> None:
+    def _drop(self, now: float, job: jobs.Job) -> None:
         self.waiting.remove(job.rank, job)
         self._forget(job)
         self._refuse(now, job, messages.Reason.OVERLOAD)
@@ -414,7 +345,7 @@
                 continue
             self._start(now, job)
 
-    def _start(self, now: float, job: Job) -> None:
+    def _start(self, now: float, job: jobs.Job) -> None:
         job.started = now
         self.budget.offered(now)
         self.running[job.dispatch] = job
@@ -433,39 +364,30 @@
             )
         )
 
-    def _end(self, now: float, job: Job, *, whole: bool = False) -> None:
+    def _end(self, now: float, job: jobs.Job, *, whole: bool = False) -> None:
         """Take a request off the server's slots; `whole` if it ran to a good end."""
         self.running.pop(job.dispatch, None)
         self._forget(job)
         held_s = now - job.started
-        self.costs.ended(job.forward.route, hold_s=held_s, calls=job.calls, whole=whole)
+        self.admission.costs.ended(
+            job.forward.route, hold_s=held_s, calls=job.calls, whole=whole
+        )
 
-    def _forget(self, job: Job) -> None:
+    def _forget(self, job: jobs.Job) -> None:
         self.by_number.pop((job.link, job.forward.number), None)
 
-    def _count_pressure(self, now: float, job: Job, *, failed: bool) -> None:
-        """Have an answer count for how much of its route is turned away.
-
-        Where runs make no calls nothing behind the server can be the cause, and the
-        choice of a server deals with one that fails by itself.
-        """
-        hangs_on_calls = self.costs.makes_calls(job.forward.route)
-        if not hangs_on_calls or not self.rt.tuning.turn_away_failing:
-            return
-        late = now > job.arrived + job.forward.target_s > job.arrived
-        weight = 1.0 if failed else LATE_WEIGHT * late
-        self.controls.route(job.forward.route).ended(now, weight)
-
-    def _break(self, now: float, job: Job, reason: messages.Reason) -> None:
+    def _break(self, now: float, job: jobs.Job, reason: messages.Reason) -> None:
         self.health.ended(now, failed=True)
-        self._count_pressure(now, job, failed=True)
+        self.admission.answered(now, job, failed=True)
         self._end(now, job)
         self._note(job, "broken", reason)
         number = job.forward.number
         broken = messages.Broken(number=number, reason=reason, load=self.load(now))
         self.reply(now, job, broken)
 
-    def _server_refused(self, now: float, job: Job, facts: events.AnswerFacts) -> None:
+    def _server_refused(
+        self, now: float, job: jobs.Job, facts: events.AnswerFacts
+    ) -> None:
         self._end(now, job)
         self.health.ended(now, failed=True)
         if facts.instance and facts.instance != self.server.instance:
@@ -480,7 +402,7 @@
     def _refuse(
         self,
         now: float,
-        job: Job,
+        job: jobs.Job,
         reason: messages.Reason,
         *,
         offered: bool = False,
@@ -491,29 +413,17 @@
         refused = messages.Refused(
             number=job.forward.number,
             reason=reason,
-            retry_after_s=self._retry_after_s(now, reason, job),
+            retry_after_s=self.admission.retry_after_s(
+                reason, job, limit=self.limit, waiting_s=self.waiting.hold_s
+            ),
             offered=offered,
             again=again,
             load=self.load(now),
-            price_pct=round(100 * self.costs.price(now, job.forward.route)),
+            price_pct=self.admission.refused_price_pct(now, job),
             called=self.callers.by_servers(job.forward.route),
         )
         self.reply(now, job, refused)
 
-    def _retry_after_s(self, now: float, reason: messages.Reason, job: Job) -> float:
-        """Return when there will be room again, spread so that callers are too.
-
-        While work is held back there is no such time: the caller is told one at which
-        an answer is still in time for it, so that its second try is worth a first one.
-        """
-        hold_s = self.costs.hold_s(job.forward.route)
-        clear_s = (self.waiting.hold_s + hold_s) / self.limit
-        spread = 0.75 + 0.5 * self.rt.rng.random()
-        if reason is messages.Reason.PRESSURE:
-            in_time_s = job.forward.target_s - hold_s - RETURN_MARGIN_S
-            clear_s = max(PRESSURE_RETRY_S, in_time_s / 1.25)
-        return min(RETRY_AFTER_MOST_S, max(RETRY_AFTER_LEAST_S, clear_s * spread))
-
     def _server_closed(self, now: float, reason: messages.Reason) -> None:
         """Tell the other daemons, and refuse what waits for the server."""
         self.announce(now)
@@ -524,7 +434,7 @@
             self._forget(job)
             self._refuse(now, job, reason)
 
-    def _note(self, job: Job, outcome: str, reason: str) -> None:
+    def _note(self, job: jobs.Job, outcome: str, reason: str) -> None:
         self.rt.note(
             "gate",
             request_id=job.forward.request_id,
--- /dev/null
+++ b/ferrydeck/mesh/intake.py
@@ -0,0 +1,92 @@
+"""What a daemon makes of a request that begins on its box, before it goes anywhere."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import calls, events, gate, jobs, policy, runtime, splits
+
+CAME_BACK_S = 0.3
+"""A caller that states this much less than the most that callers of the route state
+has waited before, seconds: it was told to come back no sooner."""
+
+
+@attrs.define(kw_only=True)
+class Intake:
+    """Finds a request's service, rank, parent and the time in which it is of use."""
+
+    rt: runtime.Runtime
+    gate: gate.Gate
+    splits: splits.Splits = attrs.Factory(splits.Splits)
+    stated_s: dict[str, float] = attrs.Factory(dict)
+    """The longest time that a caller of each route said it waits, seconds."""
+
+    def call(
+        self, now: float, request: events.RequestTaken, route: policy.Route
+    ) -> calls.Call:
+        """Return a request as it is followed from here on."""
+        held_s = route.timeout_s
+        if request.deadline_s is not None:
+            held_s = min(held_s, request.deadline_s)
+        service = self.splits.service(route, self.rt.rng.random())
+        parent = self._parent(now, request, route)
+        waited_s = self._waited_s(route, request) if parent is None else 0.0
+        rank = route.priority
+        if parent is not None and self.rt.tuning.pass_rank_on:
+            rank = min(rank, parent.rank)
+        return calls.Call(
+            number=self.rt.number(),
+            conn=request.conn,
+            route=route,
+            service=service,
+            request=request,
+            started=now,
+            deadline=now + held_s,
+            late_at=now + route.target_s - waited_s,
+            give_up_at=now + self._patience_s(route, held_s, waited_s, parent),
+            policy_version=self.rt.version,
+            priority=rank,
+            lowest=parent is None and route.priority >= self.rt.policy.lowest_rank,
+            parent=parent,
+            came_back=waited_s > CAME_BACK_S,
+        )
+
+    def _parent(
+        self, now: float, request: events.RequestTaken, route: policy.Route
+    ) -> jobs.Job | None:
+        """Return the run that a request is a call of, `None` for a caller's own."""
+        if request.deadline_s is None:
+            return None
+        return self.gate.parent(now, route.name, request.deadline_s)
+
+    def _waited_s(self, route: policy.Route, request: events.RequestTaken) -> float:
+        """Return how long a caller has waited since its first try, seconds.
+
+        A caller that comes back states what is left of the time that it began with.
+        """
+        if request.deadline_s is None:
+            return 0.0
+        most_s = max(self.stated_s.get(route.name, 0.0), request.deadline_s)
+        self.stated_s[route.name] = most_s
+        return most_s - request.deadline_s
+
+    def _patience_s(
+        self,
+        route: policy.Route,
+        held_s: float,
+        waited_s: float,
+        parent: jobs.Job | None,
+    ) -> float:
+        """Return by when a request is to be served if it is to be of use, seconds.
+
+        The calls of a run come in turn, as far as is seen: each has its part of the
+        time that the run has left. An urgent request is of use as long as its caller
+        waits; others make room when they would be late, unless they are already.
+        """
+        if parent is not None:
+            known = self.gate.admission.costs.route(parent.forward.route).calls
+            return held_s / max(1.0, known - parent.calls)
+        in_time_s = route.target_s - waited_s
+        if route.priority < self.rt.policy.lowest_rank or in_time_s <= 0:
+            return held_s
+        return min(in_time_s, held_s)
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -10,16 +10,13 @@
     effects,
     events,
     gate,
+    intake,
     messages,
     peers,
-    policy,
+    replies,
     runtime,
-    splits,
 )
 
-CAME_BACK_S = 0.3
-"""A caller that states this much less than the most that callers of the route state
-has waited before, seconds: it was told to come back no sooner."""
 NO_GATE_S = 0.15
 """How long a request of the lowest rank looks for an open gate, seconds: one that opens
 again after a restart says so within a tenth. Longer waits are mostly in vain, since the
@@ -75,12 +72,10 @@
     peers: peers.Peers
     chooser: choosing.Chooser
     gate: gate.Gate
-    splits: splits.Splits = attrs.Factory(splits.Splits)
+    intake: intake.Intake
     by_conn: dict[int, calls.Call] = attrs.Factory(dict)
     by_number: dict[int, calls.Call] = attrs.Factory(dict)
     by_attempt: dict[int, calls.Call] = attrs.Factory(dict)
-    stated_s: dict[str, float] = attrs.Factory(dict)
-    """The longest time that a caller of each route said it waits, seconds."""
     closed: bool = False
     """Whether no further request is taken, since the daemon is about to end."""
 
@@ -92,17 +87,17 @@
         """Take a request."""
         if self.rt.policy is None:
             reason = messages.Reason.NO_POLICY
-            self._decline(request, NOT_RUN_STATUS, reason, STARTING_RETRY_S)
+            replies.decline(self.rt, request, NOT_RUN_STATUS, reason, STARTING_RETRY_S)
             return
         if self.closed:
             reason = messages.Reason.STOPPING
-            self._decline(request, NOT_RUN_STATUS, reason, RETRY_AFTER_S)
+            replies.decline(self.rt, request, NOT_RUN_STATUS, reason, RETRY_AFTER_S)
             return
         route = self.rt.policy.find(request.host, request.target)
         if route is None:
-            self._decline(request, 404, messages.Reason.NO_ROUTE, None)
+            replies.decline(self.rt, request, 404, messages.Reason.NO_ROUTE, None)
             return
-        call = self._call(now, request, route)
+        call = self.intake.call(now, request, route)
         self.by_conn[call.conn] = call
         self.by_number[call.number] = call
         self.rt.at(call.deadline - DEADLINE_SLACK_S, DeadlineTimer(number=call.number))
@@ -144,10 +139,10 @@
             return
         if message.more:
             call.streaming = True
-            self._reply(call, message)
+            replies.reply(self.rt, call, message)
             return
         self._end_attempt(call)
-        self._reply(call, message)
+        replies.reply(self.rt, call, message)
         self._finish(now, call, "answered", str(message.status))
 
     def part(self, now: float, peer: peers.Peer | None, message: messages.Part) -> None:
@@ -242,75 +237,6 @@
         call.note(self.rt, "repeated", reason)
         self._try(now, call)
 
-    def _call(
-        self, now: float, request: events.RequestTaken, route: policy.Route
-    ) -> calls.Call:
-        held_s = route.timeout_s
-        if request.deadline_s is not None:
-            held_s = min(held_s, request.deadline_s)
-        service = self.splits.service(route, self.rt.rng.random())
-        parent = self._parent(now, request, route)
-        waited_s = self._waited_s(route, request) if parent is None else 0.0
-        rank = route.priority
-        if parent is not None and self.rt.tuning.pass_rank_on:
-            rank = min(rank, parent.rank)
-        return calls.Call(
-            number=self.rt.number(),
-            conn=request.conn,
-            route=route,
-            service=service,
-            request=request,
-            started=now,
-            deadline=now + held_s,
-            late_at=now + route.target_s - waited_s,
-            give_up_at=now + self._patience_s(route, held_s, waited_s, parent),
-            policy_version=self.rt.version,
-            priority=rank,
-            lowest=parent is None and route.priority >= self.rt.policy.lowest_rank,
-            parent=parent,
-            came_back=waited_s > CAME_BACK_S,
-        )
-
-    def _parent(
-        self, now: float, request: events.RequestTaken, route: policy.Route
-    ) -> gate.Job | None:
-        """Return the run that a request is a call of, `None` for a caller's own."""
-        if request.deadline_s is None:
-            return None
-        return self.gate.parent(now, route.name, request.deadline_s)
-
-    def _waited_s(self, route: policy.Route, request: events.RequestTaken) -> float:
-        """Return how long a caller has waited since its first try, seconds.
-
-        A caller that comes back states what is left of the time that it began with.
-        """
-        if request.deadline_s is None:
-            return 0.0
-        most_s = max(self.stated_s.get(route.name, 0.0), request.deadline_s)
-        self.stated_s[route.name] = most_s
-        return most_s - request.deadline_s
-
-    def _patience_s(
-        self,
-        route: policy.Route,
-        held_s: float,
-        waited_s: float,
-        parent: gate.Job | None,
-    ) -> float:
-        """Return by when a request is to be served if it is to be of use, seconds.
-
-        The calls of a run come in turn, as far as is seen: each has its part of the
-        time that the run has left. An urgent request is of use as long as its caller
-        waits; others make room when they would be late, unless they are already.
-        """
-        if parent is not None:
-            known = self.gate.costs.route(parent.forward.route).calls
-            return held_s / max(1.0, known - parent.calls)
-        in_time_s = route.target_s - waited_s
-        if route.priority < self.rt.policy.lowest_rank or in_time_s <= 0:
-            return held_s
-        return min(in_time_s, held_s)
-
     def _try(self, now: float, call: calls.Call) -> None:
         """Send the request to a gate."""
         if call.deadline - now < calls.LEAST_RETRY_S:
@@ -389,7 +315,7 @@
             return
         self.gate.parents.told(call.route.name, called=message.called)
         if call.parent is not None:
-            self.gate.called(now, call.parent, message.price_pct / 100)
+            self.gate.admission.called(now, call.parent, message.price_pct / 100)
 
     def _end_attempt(self, call: calls.Call) -> None:
         self.by_attempt.pop(call.attempt, None)
@@ -457,18 +383,6 @@
             return
         self._give_up(now, call, MAYBE_RUN_STATUS, reason)
 
-    def _reply(self, call: calls.Call, message: messages.Answer) -> None:
-        self.rt.emit(
-            effects.Reply(
-                conn=call.conn,
-                status=message.status,
-                fields=message.fields,
-                body=message.body,
-                more=message.more,
-                total=message.total,
-            )
-        )
-
     def _address(self, peer: peers.Peer | None) -> str:
         return self.rt.identity.address if peer is None else peer.address
 
@@ -495,37 +409,12 @@
         Where a server has answered with a failure of its own, that is what it gets.
         """
         if call.failed is not None:
-            self._reply(call, call.failed)
+            replies.reply(self.rt, call, call.failed)
             self._finish(now, call, "answered", str(call.failed.status))
             return
         self.rt.emit(effects.Decline(conn=call.conn, status=status, reason=reason))
         self._finish(now, call, "unknown", reason)
 
-    def _decline(
-        self,
-        request: events.RequestTaken,
-        status: int,
-        reason: str,
-        retry_after_s: float | None,
-    ) -> None:
-        self.rt.emit(
-            effects.Decline(
-                conn=request.conn,
-                status=status,
-                reason=reason,
-                retry_after_s=retry_after_s,
-            )
-        )
-        self.rt.note(
-            "request",
-            request_id=request.request_id,
-            outcome="declined",
-            reason=reason,
-            host=request.host,
-            target=request.target,
-            version=self.rt.version,
-        )
-
     def _finish(self, now: float, call: calls.Call, outcome: str, reason: str) -> None:
         self.by_conn.pop(call.conn, None)
         self.by_number.pop(call.number, None)
--- /dev/null
+++ b/ferrydeck/mesh/replies.py
@@ -0,0 +1,46 @@
+"""What callers get: answers of servers, and refusals before a request was taken."""
+
+from __future__ import annotations
+
+from ferrydeck.mesh import calls, effects, events, messages, runtime
+
+
+def reply(rt: runtime.Runtime, call: calls.Call, message: messages.Answer) -> None:
+    """Give a caller a server's answer, or the first part of it."""
+    rt.emit(
+        effects.Reply(
+            conn=call.conn,
+            status=message.status,
+            fields=message.fields,
+            body=message.body,
+            more=message.more,
+            total=message.total,
+        )
+    )
+
+
+def decline(
+    rt: runtime.Runtime,
+    request: events.RequestTaken,
+    status: int,
+    reason: str,
+    retry_after_s: float | None,
+) -> None:
+    """Refuse a request that was not taken, with a line in the log."""
+    rt.emit(
+        effects.Decline(
+            conn=request.conn,
+            status=status,
+            reason=reason,
+            retry_after_s=retry_after_s,
+        )
+    )
+    rt.note(
+        "request",
+        request_id=request.request_id,
+        outcome="declined",
+        reason=reason,
+        host=request.host,
+        target=request.target,
+        version=rt.version,
+    )
