--- a/ferrydeck/replay/mesh_world.py
+++ b/ferrydeck/replay/mesh_world.py
@@ -15,7 +15,16 @@
 import attrs
 import simpy
 
-from ferrydeck.mesh import core, effects, events, messages, policy, runtime, store
+from ferrydeck.mesh import (
+    core,
+    effects,
+    events,
+    messages,
+    policy,
+    runtime,
+    store,
+    tuning,
+)
 
 NEAR_S = 0.0002
 FAR_S = 0.001
@@ -117,6 +126,7 @@
     """Boxes, links, servers and a store on one virtual clock."""
 
     seed: int = 1
+    tuning: tuning.Tuning = tuning.Tuning()
     env: simpy.Environment = attrs.Factory(simpy.Environment)
     rng: random.Random = attrs.field(init=False)
     boxes: dict[str, Box] = attrs.Factory(dict)
@@ -288,6 +298,7 @@
                 server_address=f"{address.rpartition(':')[0]}:80",
             ),
             rng=random.Random(self.rng.random()),
+            tuning=self.tuning,
         )
 
     def _restart(self, box: Box) -> None:
--- /dev/null
+++ b/tests/mesh/test_switches.py
@@ -0,0 +1,63 @@
+"""Tests of a mechanism fail without it: each shows what the mechanism is there for."""
+
+from __future__ import annotations
+
+import pytest
+
+from ferrydeck.mesh import tuning
+from ferrydeck.replay import mesh_world
+from tests.mesh import samples, test_core
+
+
+def test_runs_that_fail_behind_a_server_are_turned_away():
+    world = test_core.chain_of()
+    test_core.surge_of(world, per_s=20, seconds=4)
+    world.boxes["box-1"].server.fails = True
+    test_core.surge_of(world, per_s=20, seconds=3)
+    looks, posts, _ = test_core.surge_of(world, per_s=20, seconds=4)
+    world.run(2)
+    assert sum(one.told.status == 503 for one in looks) > 0.6 * len(looks)
+    # What is urgent is let in all the same.
+    assert not [one for one in posts if one.told.status == 503]
+
+
+def test_the_first_failures_of_a_server_are_not_the_callers():
+    world = samples.world_of(2)
+    world.boxes["box-0"].server.fails = True
+    asked = [samples.ask(world, "box-0") for _ in range(6)]
+    world.run(1)
+    assert {one.told.status for one in asked} == {200}
+
+
+CASES = {
+    "price_slots": test_core.test_a_full_service_behind_holds_back_what_would_call_it,
+    "turn_away_failing": test_runs_that_fail_behind_a_server_are_turned_away,
+    "pass_rank_on": (
+        test_core.test_calls_of_postings_are_offered_again_first_where_all_servers_shed
+    ),
+    "offer_shed_again": (
+        test_core.test_servers_that_shed_half_are_asked_again_but_no_more_servers_than_allowed
+    ),
+    "keep_offers_for_urgent": (
+        test_core.test_calls_of_postings_are_offered_again_first_where_all_servers_shed
+    ),
+    "repeat_failed": test_the_first_failures_of_a_server_are_not_the_callers,
+    "prefer_fast": test_core.test_a_faster_server_gets_more_while_all_are_free,
+    "prefer_near": test_core.test_a_request_is_served_by_a_near_gate,
+    "spill_early": (
+        test_core.test_work_goes_to_another_zone_before_a_near_server_is_full
+    ),
+    "move_from_silent": test_core.test_requests_at_a_frozen_box_are_asked_of_another,
+}
+
+
+@pytest.mark.parametrize("switch", CASES)
+def test_a_mechanism_is_what_its_test_shows(switch, monkeypatch):
+    made = mesh_world.World.__init__
+
+    def without(self, **values):
+        made(self, tuning=tuning.Tuning(**{switch: False}), **values)
+
+    monkeypatch.setattr(mesh_world.World, "__init__", without)
+    with pytest.raises(AssertionError):
+        CASES[switch]()
