--- a/tests/mesh/samples.py
+++ b/tests/mesh/samples.py
@@ -57,3 +57,16 @@
 
 def post(world: mesh_world.World, box: str, **more: object) -> mesh_world.Asked:
     return ask(world, box, path="/pay/1", once=True, **more)
+
+
+def told_all(asked: list[mesh_world.Asked]) -> list[int]:
+    return [one.told.status if one.told else 0 for one in asked]
+
+
+def load(world, box, count, *, every_s=0.01, send=None, **more):
+    """Send requests one after the other while time passes."""
+    asked = []
+    for _ in range(count):
+        asked.append((send or ask)(world, box, **more))
+        world.run(every_s)
+    return asked
--- a/tests/mesh/test_core.py
+++ b/tests/mesh/test_core.py
@@ -9,24 +9,11 @@
 from tests.mesh import samples
 
 
-def told_all(asked: list[mesh_world.Asked]) -> list[int]:
-    return [one.told.status if one.told else 0 for one in asked]
-
-
-def load(world, box, count, *, every_s=0.01, send=samples.ask, **more):
-    """Send requests one after the other while time passes."""
-    asked = []
-    for _ in range(count):
-        asked.append(send(world, box, **more))
-        world.run(every_s)
-    return asked
-
-
 def test_a_request_is_served_by_a_near_gate():
     world = samples.world_of(4, zones=2)
-    asked = load(world, "box-0", 50)
+    asked = samples.load(world, "box-0", 50)
     world.run(1)
-    assert told_all(asked) == [200] * 50
+    assert samples.told_all(asked) == [200] * 50
     used = {one.box for one in world.runs}
     assert used <= {"box-0", "box-2"}
     assert mesh_world.faults(world) == []
@@ -87,11 +74,11 @@
     world.run(0.01)
     assert acks == [True]
     acked_at = world.now
-    asked = load(world, "box-0", 100) + load(world, "box-1", 20)
+    asked = samples.load(world, "box-0", 100) + samples.load(world, "box-1", 20)
     world.run(1)
     late = [one for one in world.runs if one.box == "box-1" and one.at > acked_at]
     assert late == []
-    assert told_all(asked) == [200] * 120
+    assert samples.told_all(asked) == [200] * 120
 
 
 def test_a_leaving_holds_after_the_daemon_beside_it_was_killed():
@@ -102,7 +89,7 @@
     world.kill(leaving, 0.3)
     killed_at = world.now
     world.run(2)
-    load(world, "box-0", 100)
+    samples.load(world, "box-0", 100)
     late = [one for one in world.runs if one.box == "box-1" and one.at > killed_at]
     assert late == []
 
@@ -122,26 +109,26 @@
     world = samples.world_of(3)
     for box in world.boxes.values():
         box.server.loses_answers = True
-    asked = load(world, "box-0", 30, send=samples.post)
+    asked = samples.load(world, "box-0", 30, send=samples.post)
     world.run(3)
-    assert told_all(asked) == [502] * 30
+    assert samples.told_all(asked) == [502] * 30
     assert mesh_world.faults(world) == []
 
 
 def test_a_lookup_whose_answer_is_lost_is_asked_of_another_server():
     world = samples.world_of(3)
     world.boxes["box-0"].server.loses_answers = True
-    asked = load(world, "box-1", 10, every_s=0.3)
+    asked = samples.load(world, "box-1", 10, every_s=0.3)
     world.run(2)
-    assert told_all(asked) == [200] * 10
+    assert samples.told_all(asked) == [200] * 10
 
 
 def test_a_posting_is_sent_on_when_a_server_says_that_it_did_not_run():
     world = samples.world_of(2)
     world.boxes["box-0"].server.sheds = True
-    asked = load(world, "box-0", 3, every_s=0.5, send=samples.post)
+    asked = samples.load(world, "box-0", 3, every_s=0.5, send=samples.post)
     world.run(2)
-    assert told_all(asked) == [200] * 3
+    assert samples.told_all(asked) == [200] * 3
     assert mesh_world.faults(world) == []
 
 
@@ -234,13 +221,13 @@
 def test_requests_at_a_frozen_box_are_asked_of_another():
     world = samples.world_of(3, work_s=0.3)
     frozen = world.boxes["box-1"]
-    asked = load(world, "box-0", 20, every_s=0.01)
+    asked = samples.load(world, "box-0", 20, every_s=0.01)
     frozen.frozen_until = world.now + 4
     world.run(3)
-    assert told_all(asked).count(200) >= 18
-    after = load(world, "box-0", 20, every_s=0.02)
+    assert samples.told_all(asked).count(200) >= 18
+    after = samples.load(world, "box-0", 20, every_s=0.02)
     world.run(1.5)
-    assert told_all(after) == [200] * 20
+    assert samples.told_all(after) == [200] * 20
     world.run(4)
     assert mesh_world.faults(world) == []
 
@@ -260,18 +247,18 @@
 def test_a_new_lifetime_of_a_server_gets_only_what_was_meant_for_it():
     world = samples.world_of(2)
     world.replace_server(world.boxes["box-1"])
-    asked = load(world, "box-0", 40, every_s=0.05)
+    asked = samples.load(world, "box-0", 40, every_s=0.05)
     world.run(3)
-    assert told_all(asked) == [200] * 40
+    assert samples.told_all(asked) == [200] * 40
     assert mesh_world.faults(world) == []
 
 
 def test_a_dead_server_is_avoided_until_it_reports_again():
     world = samples.world_of(3)
     world.boxes["box-1"].server.up = False
-    asked = load(world, "box-0", 60)
+    asked = samples.load(world, "box-0", 60)
     world.run(1)
-    assert told_all(asked) == [200] * 60
+    assert samples.told_all(asked) == [200] * 60
     world.boxes["box-1"].server.up = True
     world.run(3)
     assert world.boxes["box-1"].core.gate.server.phase == "ready"
@@ -279,12 +266,12 @@
 
 def test_a_planned_stop_cuts_nothing_and_is_over_in_time():
     world = samples.world_of(3, work_s=0.3)
-    asked = load(world, "box-1", 20, every_s=0.02)
+    asked = samples.load(world, "box-1", 20, every_s=0.02)
     world.stop(world.boxes["box-1"])
-    asked += load(world, "box-1", 40, every_s=0.02)
+    asked += samples.load(world, "box-1", 40, every_s=0.02)
     assert not world.boxes["box-1"].core.ready(world.now)
     world.run(5)
-    assert told_all(asked) == [200] * 60
+    assert samples.told_all(asked) == [200] * 60
     assert not world.boxes["box-1"].up
 
 
@@ -303,15 +290,15 @@
         world.run(0.02)
     world.run(5)
     assert mesh_world.faults(world) == []
-    assert told_all(asked).count(200) > 0.9 * len(asked)
+    assert samples.told_all(asked).count(200) > 0.9 * len(asked)
 
 
 def test_a_cut_between_zones_leaves_each_serving_itself():
     world = samples.world_of(4, zones=2)
     world.cut = lambda one, other: one.zone != other.zone
-    asked = load(world, "box-0", 50, every_s=0.05)
+    asked = samples.load(world, "box-0", 50, every_s=0.05)
     world.run(2)
-    assert told_all(asked) == [200] * 50
+    assert samples.told_all(asked) == [200] * 50
     world.cut = lambda one, other: False
     world.run(4)
     links = [
@@ -332,7 +319,7 @@
     world.add_box("box-0", "hall-0", "desk")
     world.add_box("box-1", "hall-0", "book")
     world.run(2)
-    load(world, "box-0", 200, every_s=0.02)
+    samples.load(world, "box-0", 200, every_s=0.02)
     share = sum(one.box == "box-1" for one in world.runs) / len(world.runs)
     assert share == pytest.approx(0.1, abs=0.02)
 
@@ -341,7 +328,7 @@
     world = samples.world_of(3, work_s=0.4)
     box = world.boxes["box-1"]
     world.stop(box)
-    asked = load(world, "box-1", 120, every_s=0.05)
+    asked = samples.load(world, "box-1", 120, every_s=0.05)
     assert not box.up
     taken = [one for one in asked if one.at < 6.0 + 2.0 and one.told is not None]
     assert {one.told.status for one in taken} == {200, 503}
@@ -349,85 +336,11 @@
     assert unanswered == []
 
 
-def chain_of(seed: int = 1) -> mesh_world.World:
-    """Clients ask `desk`; its servers call `deep` twice a run."""
-    world = mesh_world.World(seed=seed, call_host=samples.HOST)
-    deep = (policy.Part(service="deep", weight=1),)
-    look = samples.route(target_s=1.0)
-    post = samples.pay()
-    call = samples.route("call", priority=1, parts=deep)
-    plain = samples.route("plain")
-    long = samples.route("long", parts=deep)
-    world.use(samples.policy_of(look, post, call, plain, long))
-    calls = tuple(
-        mesh_world.Calls(of=of, path="/call/1", times=2, deadline_s=3.0)
-        for of in ("/look/", "/pay/")
-    )
-    world.add_box("box-0", "hall-0", "desk", slots=50, work_s=0.02, calls=calls)
-    world.add_box("box-1", "hall-0", "deep", slots=4, work_s=0.04)
-    world.run(2)
-    return world
-
-
-def surge_of(world: mesh_world.World, *, per_s: int, seconds: float):
-    """Have callers send lookups, some postings and plain lookups."""
-    looks, posts, plains = [], [], []
-    for step in range(int(seconds * per_s)):
-        looks.append(samples.ask(world, "box-0"))
-        world.run(0.5 / per_s)
-        if step % 8 == 0:
-            posts.append(samples.post(world, "box-0"))
-        if step % 4 == 0:
-            plains.append(samples.ask(world, "box-0", path="/plain/1"))
-        world.run(0.5 / per_s)
-    return looks, posts, plains
-
-
-def test_a_full_service_behind_holds_back_what_would_call_it():
-    world = chain_of()
-    surge_of(world, per_s=20, seconds=5)
-    looks, posts, plains = surge_of(world, per_s=80, seconds=10)
-    world.run(2)
-    refused = [one for one in looks if one.told.status == 503]
-    assert {one.told.reason for one in refused} == {"pressure"}
-    # Three slots of 0.04 s carry 37.5 runs of two calls a second.
-    served = [one for one in looks if one.told.status == 200]
-    assert len(served) + len(posts) > 0.85 * 375
-    failed = [one for one in looks if one.told.status not in (200, 503)]
-    assert len(failed) < 0.1 * len(looks)
-    assert sum(one.told.status == 200 for one in posts) > 0.9 * len(posts)
-    assert {one.told.status for one in plains} == {200}
-
-
-def test_requests_are_let_in_again_after_a_surge():
-    world = chain_of()
-    surge_of(world, per_s=80, seconds=6)
-    world.run(1.5)
-    looks, _, _ = surge_of(world, per_s=20, seconds=3)
-    world.run(2)
-    assert sum(one.told.status == 200 for one in looks) > 0.95 * len(looks)
-
-
-def test_calls_of_postings_are_offered_again_first_where_all_servers_shed():
-    served, lookups = [], []
-    for seed in range(1, 5):
-        world = chain_of(seed)
-        surge_of(world, per_s=20, seconds=10)
-        world.boxes["box-1"].server.sheds_share = 0.5
-        looks, posts, _ = surge_of(world, per_s=20, seconds=8)
-        world.run(2)
-        served += [one.told.status == 200 for one in posts]
-        lookups += [one.told.status == 200 for one in looks]
-    # Each makes two calls: without further offers a quarter would be served.
-    assert sum(served) > 0.8 * len(served)
-    assert sum(lookups) < 0.7 * len(lookups)
-
-
 def test_a_failed_request_is_not_repeated_where_all_servers_fail_alike():
     world = samples.world_of(4)
     for box in world.boxes.values():
         box.server.fails = True
-    asked = [one for name in world.boxes for one in load(world, name, 60)]
+    asked = [one for name in world.boxes for one in samples.load(world, name, 60)]
     world.run(2)
     repeats = len(world.runs) - len({one.request_id for one in world.runs})
     assert repeats <= 0.05 * len(asked)
@@ -436,9 +349,9 @@
 def test_a_failed_request_is_repeated_where_one_server_fails_alone():
     world = samples.world_of(4)
     world.boxes["box-1"].server.fails = True
-    asked = load(world, "box-0", 100, every_s=0.02)
+    asked = samples.load(world, "box-0", 100, every_s=0.02)
     world.run(2)
-    assert told_all(asked).count(200) >= 97
+    assert samples.told_all(asked).count(200) >= 97
 
 
 def test_a_lifetime_that_has_left_is_not_opened_by_a_newer_report():
@@ -465,34 +378,18 @@
     world = samples.world_of(3, slots=40)
     world.boxes["box-0"].server.work_s = 0.12
     world.boxes["box-2"].server.work_s = 0.03
-    asked = load(world, "box-1", 400, every_s=0.02)
+    asked = samples.load(world, "box-1", 400, every_s=0.02)
     world.run(1)
-    assert told_all(asked) == [200] * 400
+    assert samples.told_all(asked) == [200] * 400
     last = [one.box for one in world.runs[200:]]
     assert last.count("box-2") > 4 * last.count("box-0")
 
 
-def test_servers_that_shed_half_are_asked_again_but_no_more_servers_than_allowed():
-    world = samples.world_of(4, slots=30)
-    for box in world.boxes.values():
-        box.server.sheds_share = 0.55
-    asked = load(world, "box-0", 600, every_s=0.01)
-    world.run(2)
-    served = told_all(asked).count(200)
-    # Without further offers it would be 0.45, with one for each 0.70.
-    assert served > 0.5 * len(asked)
-    arrived: dict[str, set[str]] = {}
-    for one in world.runs:
-        arrived.setdefault(one.request_id, set()).add(one.box)
-    assert max(len(boxes) for boxes in arrived.values()) == 2
-    assert len(world.runs) - len(arrived) <= 0.2 * len(asked) + 48
-
-
 def test_a_route_without_calls_is_not_turned_away_while_its_server_fails():
     world = samples.world_of(2)
     for box in world.boxes.values():
         box.server.loses_answers = True
-    asked = load(world, "box-0", 200, every_s=0.02)
+    asked = samples.load(world, "box-0", 200, every_s=0.02)
     world.run(3)
     assert not [one for one in asked if one.told.reason == "pressure"]
 
@@ -522,7 +419,7 @@
     world.run(2.5)
     ids = {one.request_id for one in at_lost}
     lost = [one for one in asked if one.request_id in ids]
-    assert told_all(lost).count(200) == len(lost)
+    assert samples.told_all(lost).count(200) == len(lost)
     assert mesh_world.faults(world) == []
 
 
@@ -536,19 +433,3 @@
     assert asked.told.status == 503
     # The route's target is 1 s from the first try.
     assert 0.3 <= asked.told.retry_after_s < 1.0
-
-
-def test_work_goes_to_another_zone_before_a_near_server_is_full():
-    world = samples.world_of(2, zones=2, slots=20, work_s=0.1)
-    # The near server carries 190 a second; the far one has half of its slots taken.
-    near = []
-    for step in range(600):
-        near.append(samples.ask(world, "box-0"))
-        if step % 2 == 0:
-            samples.ask(world, "box-1")
-        world.run(0.0055)
-    world.run(1)
-    ids = {one.request_id for one in near}
-    far = sum(one.box == "box-1" and one.request_id in ids for one in world.runs)
-    assert told_all(near) == [200] * 600
-    assert far > 0.1 * len(near)
--- a/tests/mesh/test_switches.py
+++ b/tests/mesh/test_switches.py
@@ -6,15 +6,15 @@
 
 from ferrydeck.mesh import tuning
 from ferrydeck.replay import mesh_world
-from tests.mesh import samples, test_core
+from tests.mesh import samples, test_core, test_surge
 
 
 def test_runs_that_fail_behind_a_server_are_turned_away():
-    world = test_core.chain_of()
-    test_core.surge_of(world, per_s=20, seconds=4)
+    world = test_surge.chain_of()
+    test_surge.surge_of(world, per_s=20, seconds=4)
     world.boxes["box-1"].server.fails = True
-    test_core.surge_of(world, per_s=20, seconds=3)
-    looks, posts, _ = test_core.surge_of(world, per_s=20, seconds=4)
+    test_surge.surge_of(world, per_s=20, seconds=3)
+    looks, posts, _ = test_surge.surge_of(world, per_s=20, seconds=4)
     world.run(2)
     assert sum(one.told.status == 503 for one in looks) > 0.6 * len(looks)
     # What is urgent is let in all the same.
@@ -30,22 +30,22 @@
 
 
 CASES = {
-    "price_slots": test_core.test_a_full_service_behind_holds_back_what_would_call_it,
+    "price_slots": test_surge.test_a_full_service_behind_holds_back_what_would_call_it,
     "turn_away_failing": test_runs_that_fail_behind_a_server_are_turned_away,
     "pass_rank_on": (
-        test_core.test_calls_of_postings_are_offered_again_first_where_all_servers_shed
+        test_surge.test_calls_of_postings_are_offered_again_first_where_all_servers_shed
     ),
     "offer_shed_again": (
-        test_core.test_servers_that_shed_half_are_asked_again_but_no_more_servers_than_allowed
+        test_surge.test_servers_that_shed_half_are_asked_again_but_no_more_servers_than_allowed
     ),
     "keep_offers_for_urgent": (
-        test_core.test_calls_of_postings_are_offered_again_first_where_all_servers_shed
+        test_surge.test_calls_of_postings_are_offered_again_first_where_all_servers_shed
     ),
     "repeat_failed": test_the_first_failures_of_a_server_are_not_the_callers,
     "prefer_fast": test_core.test_a_faster_server_gets_more_while_all_are_free,
     "prefer_near": test_core.test_a_request_is_served_by_a_near_gate,
     "spill_early": (
-        test_core.test_work_goes_to_another_zone_before_a_near_server_is_full
+        test_surge.test_work_goes_to_another_zone_before_a_near_server_is_full
     ),
     "move_from_silent": test_core.test_requests_at_a_frozen_box_are_asked_of_another,
 }
