What runs on a server as it ends is suspect, and after three ends is run no more

Cause: what was remembered of a request ended with its attempt on one box; a crash counted against the server, never against what it ran, so each copy and each repeat of a lethal request was sent on. Change: the gate that sees its server end (all requests lost within a moment, and no connection taken) tells all daemons the digests of what ran there. A suspect goes to one gate of its service, the same from every box, which runs eight of one end together and after two ends each alone among suspects; copies that run elsewhere are taken back; a success speaks for a request at once. After three ends it is refused (503) at every box, with the time until it is forgotten. Requests that ended well at the gate lately are never blamed. A loss of all that ran is confirmed by one health check.

--- a/ferrydeck/mesh/choosing.py
+++ b/ferrydeck/mesh/choosing.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ferrydeck.mesh import gate, messages, peers, runtime
+from ferrydeck.mesh.suspects import digests, trials
 
 FAR_PENALTY = 0.6
 """What another zone adds to a gate's load over its slots: bytes between zones are
@@ -132,6 +133,29 @@
                 best = Far(peer=peer, instance=peer.gate.instance)
         return best
 
+    def choose_for_suspect(
+        self,
+        now: float,
+        service: str,
+        digest: digests.Digest,
+        tried: set[str],
+        only: set[str] | None = None,
+    ) -> Choice:
+        """Return the gate that all copies of a suspect go to, as far as it is open."""
+        group = self._group(now, service)
+        everyone = [*group.near, *group.far]
+        found: dict[str, Choice] = {
+            one.address: Far(peer=one, instance=one.gate.instance)
+            for one in everyone
+            if _takes(now, one, tried, only)
+        }
+        if self._own_open(service, tried, only):
+            own = Own(instance=self.gate.server.instance)
+            found[self.rt.identity.address] = own
+        if not found:
+            return Nobody(known=len(everyone))
+        return found[trials.owner(digest, list(found))]
+
     def _own_open(self, service: str, tried: set[str], only: set[str] | None) -> bool:
         """Tell whether this box's own gate may be chosen."""
         own = self.rt.identity
@@ -148,9 +172,7 @@
         """Return the gates among which one is chosen: all of few, a sample of many."""
 
         def takes(peer: peers.Peer) -> bool:
-            if peer.address in tried or not peer.open or peer.suspect(now):
-                return False
-            return only is None or peer.address in only
+            return _takes(now, peer, tried, only)
 
         everyone = [*group.near, *group.far]
         if only is not None or len(everyone) <= SCAN_MOST:
@@ -278,3 +300,12 @@
             group.fastest_ms = self._fastest(service, known)
             group.usual_failed = self._usual_failures(now, service, known)
         return group
+
+
+def _takes(
+    now: float, peer: peers.Peer, tried: set[str], only: set[str] | None
+) -> bool:
+    """Tell whether another box's gate may be chosen."""
+    if peer.address in tried or not peer.open or peer.suspect(now):
+        return False
+    return only is None or peer.address in only
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -24,7 +24,7 @@
     servers,
     tuning,
 )
-from ferrydeck.mesh.suspects import losses
+from ferrydeck.mesh.suspects import losses, quarantine, records
 from ferrydeck.mesh.teams import access, accounting, allotment, freshness
 
 GATE_CLOSES_S = 2.4
@@ -100,7 +100,12 @@
         )
         self.rt = rt
         self.peers = peers.Peers(rt=rt)
-        self.gate = gate.Gate(rt=rt, reply=self._reply, announce=self._announce)
+        suspects = quarantine.Quarantine(
+            rt=rt, records=records.Records(), tell=self._tell_suspects
+        )
+        self.gate = gate.Gate(
+            rt=rt, reply=self._reply, announce=self._announce, suspects=suspects
+        )
         self.fresh = freshness.Freshness(revoke_s=self.terms.revoke_s)
         spending = allotment.Spending(rng=self.rng)
         self.accounting = accounting.Accounting(
@@ -196,7 +201,7 @@
                 self.links.pop(link, None)
                 self.gate.link_down(now, link)
             case events.ProbeAnswered():
-                self.gate.server.probed(now, event)
+                self.gate.probed(now, event)
             case events.Beat():
                 self.reporting.beat(now, event)
             case events.StoreAnswered(request=request, result=result):
@@ -220,6 +225,8 @@
                 self.gate.look(now)
             case losses.LossTimer():
                 self.gate.judge_losses(now)
+            case quarantine.TellTimer():
+                self.gate.suspects.tell_excused()
             case servers.ProbeTimer():
                 self.gate.server.probe(now)
             case peers.PeersTimer():
@@ -291,6 +298,9 @@
                 self.reporting.relayed(number, taken=taken)
             case messages.TeamShares():
                 self.accounting.shares_told(now, address, message)
+            case messages.Suspects(suspects=told):
+                changed = self.gate.suspects.records.merge(now, told)
+                self.gate.suspects_changed(now, changed)
 
     def _on_peer(self, now: float, link: int, message: messages.Any) -> None:
         """Act on a word of a daemon that dialled this one."""
@@ -338,6 +348,8 @@
             sent_s=now,
         )
         self._send_back(link, welcome)
+        if known := self.gate.suspects.records.to_tell(now):
+            self._send_back(link, messages.Suspects(suspects=known))
         if hello.zone != self.identity.zone and self.tuning.compress_far:
             self.rt.emit(effects.DeflateBack(link=link))
         self._ask_back(now, link, hello.version)
@@ -417,6 +429,11 @@
         for link in self.links:
             self._send_back(link, state)
 
+    def _tell_suspects(self, told: list[messages.Suspect]) -> None:
+        """Tell all daemons what was learned of requests under which servers ended."""
+        for link in self.links:
+            self._send_back(link, messages.Suspects(suspects=told))
+
     def _send_back(self, link: int, message: messages.Any) -> None:
         self.rt.emit(effects.SendBack(link=link, message=message))
 
--- a/ferrydeck/mesh/events.py
+++ b/ferrydeck/mesh/events.py
@@ -143,6 +143,8 @@
     well: bool
     instance: str
     slots: int
+    refused: bool = False
+    """Whether the server took no connection at all."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -25,7 +25,7 @@
     runtime,
     servers,
 )
-from ferrydeck.mesh.suspects import digests, losses
+from ferrydeck.mesh.suspects import digests, losses, quarantine, records
 
 QUEUE_TICK_S = 0.02
 """How often waiting requests are looked at, seconds."""
@@ -43,9 +43,6 @@
 STALL_S = 1.0
 """A server that holds requests and has answered nothing for this long, and whose
 last report is older than two intervals, takes no new work, seconds."""
-LINE_HEX = 8
-"""Digits of a digest in the line that names all that ran on a server: 160 of them make
-a line of 1.8 KB, and of a million two are alike by chance in one line of 100,000."""
 OWN = 0
 """The link number of requests that began on this box."""
 
@@ -62,6 +59,7 @@
     rt: runtime.Runtime
     reply: Callable[[float, jobs.Job, messages.Any], None]
     announce: Callable[[float], None]
+    suspects: quarantine.Quarantine
     server: servers.ServerWatch = attrs.field(init=False)
     stopping: bool = False
     running: dict[int, jobs.Job] = attrs.Factory(dict)
@@ -74,7 +72,6 @@
     by_number: dict[tuple[int, int], jobs.Job] = attrs.Factory(dict)
     _by_id: dict[str, jobs.Job] = attrs.Factory(dict)
     """The runs at the server by the ids of their requests."""
-    _losses: losses.Losses = attrs.Factory(losses.Losses)
     _queue_timer: bool = False
     _answered_at: float = 0.0
 
@@ -87,13 +84,13 @@
             window_s=terms.retry_window_s,
         )
         self.server = servers.ServerWatch(
-            rt=self.rt, opened=self.announce, closed=self._server_closed
+            rt=self.rt, opened=self._server_opened, closed=self._server_closed
         )
 
     @property
     def busy(self) -> int:
         """Requests at the server and waiting for it."""
-        return len(self.running) + len(self.waiting)
+        return len(self.running) + len(self.waiting) + len(self.suspects.trials.held)
 
     @property
     def pace_ms(self) -> int:
@@ -148,7 +145,8 @@
         if forward.repeat is messages.Repeat.CALL:
             self.budget.repeated(now)
         self._settle(now)
-        reason = self._fault(now, job)
+        suspect = self.suspects.records.of_forward(forward)
+        reason = self._fault(now, job, suspect)
         if reason is not None:
             self._refuse(now, job, reason)
             return
@@ -157,6 +155,11 @@
             # A request that goes on to the next gates is still offered once.
             hold_s = self.admission.costs.hold_s(forward.route)
             self.admission.costs.slots.offered(hold_s)
+        if suspect is not None:
+            self.suspects.trials.hold(job, suspect)
+            self._next(now)
+            self._keep_looking(now)
+            return
         if len(self.running) < self.limit and not self.waiting:
             self._start(now, job)
             return
@@ -180,7 +183,8 @@
         job = self.by_number.get((link, number))
         if job is None:
             return
-        if self.waiting.remove(job.rank, job):
+        waited = self.waiting.remove(job.rank, job)
+        if waited or self.suspects.trials.drop(job):
             self._forget(job)
             self._refuse(now, job, messages.Reason.CANCELLED)
             return
@@ -223,6 +227,8 @@
             job.streaming = True
         else:
             self._end(now, job, whole=event.status < 500)
+            if event.status < 500:
+                self.suspects.served(now, job)
         answer = messages.Answer(
             number=job.forward.number,
             status=event.status,
@@ -245,6 +251,7 @@
         self._answered_at = now
         if event.last:
             self._end(now, job, whole=True)
+            self.suspects.served(now, job)
         number = job.forward.number
         self.reply(
             now, job, messages.Part(number=number, data=event.data, last=event.last)
@@ -255,32 +262,66 @@
         """Tell that no whole answer will come."""
         job = self.running.get(event.dispatch)
         if event.refused:
-            self._losses.refused = True
+            self.suspects.losses.refused = True
             self.server.down(now, event.detail)
         if job is None:
             return
-        if not event.sent:
-            self._end(now, job)
-            self._refuse(now, job, messages.Reason.NOT_SENT)
-        else:
-            if self._losses.add(now, job, self.running):
+        if event.sent:
+            # It keeps its slot for the moment in which it is judged what was lost.
+            if self.suspects.losses.add(now, job, self.running):
                 self.rt.at(now + losses.SETTLE_S, losses.LossTimer())
-            self._break(now, job, messages.Reason.SERVER_LOST)
+            return
+        self._end(now, job)
+        self._refuse(now, job, messages.Reason.NOT_SENT)
         self._next(now)
 
     def judge_losses(self, now: float) -> None:
-        """Tell the end of the server from single answers that were lost."""
-        again_at = self._losses.settles_at(now)
-        if again_at is not None:
-            self.rt.at(again_at, losses.LossTimer())
-            return
-        lost, ended = self._losses.take(self.running)
-        if not ended:
+        """Tell the end of the server from single answers that were lost.
+
+        The other daemons hear of suspects before they hear that a request was lost, so
+        none of them is repeated as if nothing had happened.
+        """
+        pending = self.suspects.losses
+        if not pending.jobs:
             return
-        ran = [digests.of_forward(job.forward).hex()[:LINE_HEX] for job in lost]
-        self.rt.note(
-            "server-ended", instance=lost[0].forward.instance, count=len(ran), ran=ran
-        )
+        verdict = pending.verdict(now, self.running)
+        match verdict:
+            case losses.Verdict.OPEN:
+                self.rt.at(pending.settles_at(), losses.LossTimer())
+                return
+            case losses.Verdict.ALL:
+                self.server.check(now)
+                self.rt.at(pending.confirmed_by(), losses.LossTimer())
+                return
+        lost = pending.take()
+        if verdict is losses.Verdict.ENDED:
+            self.suspects.server_ended(now, lost)
+        for job in lost:
+            if job.dispatch in self.running:
+                self._break(now, job, messages.Reason.SERVER_LOST)
+        self._next(now)
+
+    def probed(self, now: float, event: events.ProbeAnswered) -> None:
+        """Take the server's answer to a health check, or that there is none."""
+        self.server.probed(now, event)
+        self.suspects.losses.checked(refused=event.refused)
+        self.judge_losses(now)
+
+    def suspects_changed(self, now: float, changed: list[records.Record]) -> None:
+        """Act on another daemon's word on requests under which servers ended.
+
+        Copies of a suspect that run here are taken back where they may be repeated: of
+        copies that came to ten boxes within 10 ms the first end is the last.
+        """
+        for job in self.suspects.copies(changed, self.running):
+            if job.forward.repeatable and not job.streaming:
+                self.rt.emit(effects.CancelDispatch(dispatch=job.dispatch))
+                self._give_back(now, job, messages.Reason.SUSPECT)
+        for job in self.suspects.trials.condemned():
+            self.suspects.trials.drop(job)
+            self._forget(job)
+            self._refuse(now, job, messages.Reason.CONDEMNED)
+        self._next(now)
 
     def look(self, now: float) -> None:
         """Refuse what has waited too long."""
@@ -289,6 +330,10 @@
         late = [job for job in self.waiting if now >= job.wait_until]
         for job in late:
             self._drop(now, job)
+        for job in [one for one in self.suspects.trials if now >= one.wait_until]:
+            self.suspects.trials.drop(job)
+            self._forget(job)
+            self._refuse(now, job, messages.Reason.SUSPECT)
         self._next(now)
         self._keep_looking(now)
 
@@ -306,9 +351,13 @@
             wait_until=now + min(forward.wait_s - delay_s, left_s) - hold_s,
         )
 
-    def _fault(self, now: float, job: jobs.Job) -> messages.Reason | None:
+    def _fault(
+        self, now: float, job: jobs.Job, suspect: records.Record | None
+    ) -> messages.Reason | None:
         """Return why a request can't be taken, if it can't."""
         forward = job.forward
+        if suspect is not None and suspect.condemned:
+            return messages.Reason.CONDEMNED
         if job.deadline - now < LEAST_LEFT_S:
             return messages.Reason.EXPIRED
         if self.stopping or self.server.phase is not messages.Phase.READY:
@@ -368,19 +417,32 @@
         self._refuse(now, job, messages.Reason.OVERLOAD)
 
     def _keep_looking(self, now: float) -> None:
-        if self.waiting and not self._queue_timer:
+        some = self.waiting or self.suspects.trials.held
+        if some and not self._queue_timer:
             self._queue_timer = True
             self.rt.at(now + QUEUE_TICK_S, QueueTimer())
 
     def _next(self, now: float) -> None:
         """Start what waits while there is room."""
+        trials = self.suspects.trials
+        while len(self.running) < self.limit and (job := trials.next()) is not None:
+            self._start_in_time(now, job)
         while self.waiting and len(self.running) < self.limit:
             job = self.waiting.pop()
-            if job.deadline - now < LEAST_LEFT_S:
-                self._forget(job)
-                self._refuse(now, job, messages.Reason.EXPIRED)
+            suspect = self.suspects.records.of_forward(job.forward)
+            if suspect is not None:
+                trials.hold(job, suspect)
                 continue
-            self._start(now, job)
+            self._start_in_time(now, job)
+
+    def _start_in_time(self, now: float, job: jobs.Job) -> None:
+        """Start a request, or refuse it where too little time is left."""
+        if job.deadline - now < LEAST_LEFT_S:
+            self.suspects.trials.ended(job.dispatch)
+            self._forget(job)
+            self._refuse(now, job, messages.Reason.EXPIRED)
+            return
+        self._start(now, job)
 
     def _start(self, now: float, job: jobs.Job) -> None:
         job.started = now
@@ -408,6 +470,7 @@
     def _end(self, now: float, job: jobs.Job, *, whole: bool = False) -> None:
         """Take a request off the server's slots; `whole` if it ran to a good end."""
         self.running.pop(job.dispatch, None)
+        self.suspects.trials.ended(job.dispatch)
         if self._by_id.get(job.forward.request_id) is job:
             del self._by_id[job.forward.request_id]
         self._forget(job)
@@ -424,8 +487,13 @@
         self.by_number.pop((job.link, job.forward.number), None)
 
     def _break(self, now: float, job: jobs.Job, reason: messages.Reason) -> None:
+        """Tell that the server failed a request that may have run."""
         self.health.ended(now, failed=True)
         self.admission.answered(now, job, failed=True)
+        self._give_back(now, job, reason)
+
+    def _give_back(self, now: float, job: jobs.Job, reason: messages.Reason) -> None:
+        """Tell that a request may have run and that no answer will come."""
         self._end(now, job)
         self._note(job, "broken", reason, digest=digests.of_forward(job.forward).hex())
         number = job.forward.number
@@ -477,13 +545,18 @@
             return {}
         return {"price": round(self.admission.price(now, job.forward.route), 2)}
 
+    def _server_opened(self, now: float) -> None:
+        """Tell the other daemons that the server takes work."""
+        self.suspects.lifetime_began()
+        self.announce(now)
+
     def _server_closed(self, now: float, reason: messages.Reason) -> None:
         """Tell the other daemons, and refuse what waits for the server."""
         self.announce(now)
         self._refuse_waiting(now, reason)
 
     def _refuse_waiting(self, now: float, reason: messages.Reason) -> None:
-        for job in self.waiting.clear():
+        for job in [*self.waiting.clear(), *self.suspects.trials.clear()]:
             self._forget(job)
             self._refuse(now, job, reason)
 
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -8,7 +8,7 @@
 
 from ferrydeck.mesh import quotes
 
-PROTOCOL = 5
+PROTOCOL = 6
 Fields = list[tuple[str, str]]
 """Header fields in the order in which they came."""
 
@@ -46,6 +46,10 @@
     TIMEOUT = "timeout"
     BUDGET = "budget"
     MEMORY = "memory"
+    SUSPECT = "suspect"
+    """It ran on a server that ended, and its turn to run again did not come in time."""
+    CONDEMNED = "condemned"
+    """Servers ended under it as often as was agreed: it is run no more."""
 
 
 class Phase(enum.StrEnum):
@@ -323,6 +327,24 @@
     shares: list[TeamShare]
 
 
+class Suspect(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A request that ran on servers as these ended."""
+
+    digest: bytes
+    ends: list[int]
+    """Numbers of the ends, drawn at random by the gates that saw them."""
+    excused: list[int]
+    """Those of them that a later success of the request speaks for."""
+    age_s: float
+    """Time since the last end, seconds."""
+
+
+class Suspects(Message, tag=21):
+    """What the sender has learned of requests under which servers ended."""
+
+    suspects: list[Suspect]
+
+
 Any = (
     GateState
     | Hello
@@ -344,6 +366,7 @@
     | ProvedPong
     | TeamUses
     | TeamShares
+    | Suspects
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/ferrydeck/mesh/origin.py
+++ b/ferrydeck/mesh/origin.py
@@ -16,7 +16,8 @@
     replies,
     runtime,
 )
-from ferrydeck.mesh.teams import access
+from ferrydeck.mesh.suspects import records
+from ferrydeck.mesh.teams import access, keys
 
 NO_GATE_S = 0.15
 """How long a request of the lowest rank looks for an open gate, seconds: one that opens
@@ -41,6 +42,11 @@
 """How long a box with a repeatable request may be silent before the request is
 sent to another one, seconds."""
 
+FINAL_REFUSALS = frozenset(
+    {messages.Reason.PRESSURE, messages.Reason.BUDGET, messages.Reason.CONDEMNED}
+)
+"""Refusals of one gate that every other one would give as well."""
+
 MAYBE_RUN_STATUS = 502
 LATE_STATUS = 504
 NOT_RUN_STATUS = 503
@@ -110,7 +116,12 @@
                 **asked.inputs,
             )
             return
-        call = self.intake.call(now, request, route, asked.team)
+        team = asked.team
+        suspect = self._suspect(request, team)
+        if suspect is not None and suspect.condemned:
+            self._decline_condemned(now, request, team, suspect)
+            return
+        call = self.intake.call(now, request, route, team)
         self.by_conn[call.conn] = call
         self.by_number[call.number] = call
         self.rt.at(call.deadline - DEADLINE_SLACK_S, DeadlineTimer(number=call.number))
@@ -255,10 +266,11 @@
         if call.deadline - now < calls.LEAST_RETRY_S:
             self._no_time(now, call)
             return
-        full = len(call.servers) >= call.route.attempts
-        only = call.servers if full else None
-        choice = self.chooser.choose(now, call.service, call.tried, only)
-        match choice:
+        suspect = self._suspect(call.request, call.team)
+        if suspect is not None and suspect.condemned:
+            self._refuse(now, call, messages.Reason.CONDEMNED, suspect.left_s(now))
+            return
+        match self._choice(now, call, suspect):
             case choosing.Nobody(known=known):
                 self._nobody(now, call, known)
             case choosing.Own(instance=instance):
@@ -266,6 +278,50 @@
             case choosing.Far(peer=peer, instance=instance):
                 self._forward(now, call, peer, instance)
 
+    def _choice(
+        self, now: float, call: calls.Call, suspect: records.Record | None
+    ) -> choosing.Choice:
+        full = len(call.servers) >= call.route.attempts
+        only = call.servers if full else None
+        if suspect is None:
+            return self.chooser.choose(now, call.service, call.tried, only)
+        return self.chooser.choose_for_suspect(
+            now, call.service, suspect.digest, call.tried, only
+        )
+
+    def _suspect(
+        self, request: events.RequestTaken, team: keys.Team | None
+    ) -> records.Record | None:
+        """Return what is remembered of a request under which servers ended."""
+        return self.gate.suspects.records.find(
+            method=request.method,
+            fields=request.fields,
+            target=request.target,
+            team="" if team is None else team.name,
+            body=lambda: request.body,
+        )
+
+    def _decline_condemned(
+        self,
+        now: float,
+        request: events.RequestTaken,
+        team: keys.Team | None,
+        suspect: records.Record,
+    ) -> None:
+        """Refuse a request that is run no more; it tells when it is forgotten."""
+        if team is not None:
+            self.access.spending.not_run(team)
+        replies.decline(
+            self.rt,
+            request,
+            NOT_RUN_STATUS,
+            messages.Reason.CONDEMNED,
+            suspect.left_s(now),
+            digest=suspect.digest.hex(),
+            ends=sorted(suspect.ends),
+            age_s=round(now - suspect.last, 3),
+        )
+
     def _forward(
         self, now: float, call: calls.Call, peer: peers.Peer | None, instance: str
     ) -> None:
@@ -364,7 +420,7 @@
         self, now: float, call: calls.Call, reason: str, retry_after_s: float
     ) -> None:
         """Show a request that was not run to another gate, or refuse it."""
-        final = reason in (messages.Reason.PRESSURE, messages.Reason.BUDGET)
+        final = reason in FINAL_REFUSALS
         shown = call.hops - call.offered
         if not final and shown < calls.HOPS and now < call.give_up_at:
             self._try(now, call)
--- a/ferrydeck/mesh/servers.py
+++ b/ferrydeck/mesh/servers.py
@@ -61,11 +61,17 @@
 
     def probe(self, now: float) -> None:
         """Ask the server whether it is well, unless it was asked already."""
-        service = self._service()
-        if service is None or self._probing or self.phase is messages.Phase.READY:
+        if self.phase is messages.Phase.READY:
             return
         if not self._vouched and now < self._vouch_until:
             return
+        self.check(now)
+
+    def check(self, now: float) -> None:
+        """Ask an open server whether it is still there, unless it was asked already."""
+        service = self._service()
+        if service is None or self._probing:
+            return
         self._probing = True
         self.rt.emit(effects.Probe(path=service.health_path))
 
@@ -78,6 +84,8 @@
                 self.rt.at(now + PROBE_RETRY_S, ProbeTimer())
             return
         self.slots = event.slots or self.slots
+        if self.phase is messages.Phase.READY and event.instance == self.instance:
+            return
         self._open(now, event.instance, "probe")
 
     def beat(self, now: float, beat: events.Beat) -> bool:
--- a/ferrydeck/mesh/suspects/digests.py
+++ b/ferrydeck/mesh/suspects/digests.py
@@ -53,5 +53,15 @@
     return next((value for name, value in fields if name == HOST), "")
 
 
+def head_of(digest: Digest) -> bytes:
+    """Return the first half of a digest."""
+    return digest[:PART_BYTES]
+
+
+def weight(digest: Digest, name: str) -> bytes:
+    """Return a number, as bytes, that is drawn for a digest and a name together."""
+    return _digest(digest + name.encode())
+
+
 def _digest(data: bytes) -> bytes:
     return hashlib.blake2b(data, digest_size=PART_BYTES).digest()
--- a/ferrydeck/mesh/suspects/losses.py
+++ b/ferrydeck/mesh/suspects/losses.py
@@ -1,12 +1,14 @@
 """Tells the end of a server from single answers that were lost.
 
 A server that ends takes all its connections with it within a moment; an answer that is
-lost, or a connection that is reset, leaves others that go on.
+lost, or a connection that is reset, mostly leaves others that go on. Where nothing else
+ran, only the server itself can tell: one that has ended takes no connection.
 """
 
 from __future__ import annotations
 
-from collections.abc import Container
+import enum
+from collections.abc import Container, Iterable
 
 import attrs
 
@@ -17,6 +19,22 @@
 the ends of 150 connections in turn, each some tenths of a millisecond after another."""
 SETTLE_MOST_S = 0.05
 """The longest time from the first lost request until then, seconds."""
+CONFIRM_S = 0.1
+"""How long the answer to the question whether it takes connections is waited for,
+seconds: it is on the same box, and for one that has ended the kernel refuses."""
+
+
+class Verdict(enum.Enum):
+    """What the losses of a moment show."""
+
+    OPEN = "open"
+    """More may be lost in this moment."""
+    SINGLE = "single"
+    """The server goes on."""
+    ALL = "all"
+    """All that ran was lost; the server may have ended, and is to be asked."""
+    ENDED = "ended"
+    """The server has ended: it takes no connection."""
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -31,30 +49,52 @@
     jobs: list[jobs.Job] = attrs.Factory(list)
     refused: bool = False
     """Whether the server has taken no connection since the first was lost."""
+    answered: bool = False
+    """Whether it has answered a health check since then, well or not."""
     _ran: set[int] = attrs.Factory(set)
     """Dispatches that ran as the first was lost."""
     _began: float = 0.0
     _last: float = 0.0
 
-    def add(self, now: float, job: jobs.Job, running: dict[int, jobs.Job]) -> bool:
+    def add(self, now: float, job: jobs.Job, running: Iterable[int]) -> bool:
         """Note a lost request; tell whether it is the first one."""
         first = not self.jobs
         if first:
             self._began = now
             self._ran = set(running)
             self.refused = False
+            self.answered = False
         self.jobs.append(job)
         self._last = now
         return first
 
-    def settles_at(self, now: float) -> float | None:
-        """Return when to judge, or `None` where it is time now."""
-        at = min(self._last + SETTLE_S, self._began + SETTLE_MOST_S)
-        return at if now < at else None
+    def checked(self, *, refused: bool) -> None:
+        """Take the answer of a health check: whether there was a connection at all."""
+        self.refused |= refused
+        self.answered |= not refused
+
+    def settles_at(self) -> float:
+        """Return when to judge."""
+        return min(self._last + SETTLE_S, self._began + SETTLE_MOST_S)
+
+    def confirmed_by(self) -> float:
+        """Return until when to wait for the server's own word."""
+        return self._began + SETTLE_MOST_S + CONFIRM_S
+
+    def verdict(self, now: float, running: Container[int]) -> Verdict:
+        """Return what is known by now."""
+        if now < self.settles_at():
+            return Verdict.OPEN
+        if self.refused:
+            return Verdict.ENDED
+        if self.answered or now >= self.confirmed_by():
+            return Verdict.SINGLE
+        lost = {job.dispatch for job in self.jobs}
+        if any(one in running for one in self._ran - lost):
+            return Verdict.SINGLE
+        return Verdict.ALL
 
-    def take(self, running: Container[int]) -> tuple[list[jobs.Job], bool]:
-        """Return what was lost, and whether the server has ended."""
+    def take(self) -> list[jobs.Job]:
+        """Return what was lost, and begin anew."""
         lost, self.jobs = self.jobs, []
-        gone = {job.dispatch for job in lost}
-        others_go_on = any(one in running for one in self._ran - gone)
-        return lost, self.refused or not others_go_on
+        return lost
--- /dev/null
+++ b/ferrydeck/mesh/suspects/proven.py
@@ -0,0 +1,50 @@
+"""Requests that ended well at a server lately, and so do not end servers."""
+
+from __future__ import annotations
+
+import attrs
+
+from ferrydeck.mesh import messages
+from ferrydeck.mesh.suspects import digests
+
+REMEMBERED = 1024
+"""Requests after which older ones begin to be forgotten. One that comes so rarely that
+1,024 others lie between is no popular one. The two sets take 0.2 MB."""
+BODY_MOST = 4096
+"""Bodies longer than this are not remembered, bytes: hashing one takes 1 microsecond a
+kilobyte, on the way of every request."""
+
+
+@attrs.define(kw_only=True)
+class Proven:
+    """The newest requests that ended well, at least `REMEMBERED` of them.
+
+    The hash is the interpreter's own, keyed anew in each process: no caller can make
+    two requests alike.
+    """
+
+    _new: set[int] = attrs.Factory(set)
+    _old: set[int] = attrs.Factory(set)
+
+    def add(self, forward: messages.Forward) -> None:
+        """Note a request that ended well."""
+        if len(forward.body) > BODY_MOST:
+            return
+        self._new.add(_key(forward))
+        if len(self._new) >= REMEMBERED:
+            self._old, self._new = self._new, set()
+
+    def __contains__(self, forward: messages.Forward) -> bool:
+        key = _key(forward)
+        return key in self._new or key in self._old
+
+    def clear(self) -> None:
+        """Forget all, since another lifetime of the server answers."""
+        self._new.clear()
+        self._old.clear()
+
+
+def _key(forward: messages.Forward) -> int:
+    host = digests.host_of(forward.fields)
+    words = (forward.method, host, forward.target, forward.team_name, forward.body)
+    return hash(words)
--- /dev/null
+++ b/ferrydeck/mesh/suspects/quarantine.py
@@ -0,0 +1,124 @@
+"""The suspects at the gate of one server: who is blamed for its end, who runs when."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from ferrydeck.mesh import jobs, messages, runtime
+from ferrydeck.mesh.suspects import digests, losses, proven, records, trials
+
+SAME_END_S = 0.5
+"""Requests of one lifetime that are lost within this of its end were lost by that end,
+seconds: a server needs longer to start again."""
+TELL_S = 0.1
+"""Pause in which successes of suspects are gathered to be told together, seconds."""
+LINE_HEX = 8
+"""Digits of a digest in the line that names all that ran on a server: 160 of them make
+a line of 1.8 KB, and of a million two are alike by chance in one line of 100,000."""
+END_BITS = 53
+"""Length of the number of an end, which each gate draws for itself."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class TellTimer:
+    """Time to tell the other daemons which suspects have succeeded."""
+
+
+@attrs.define(kw_only=True, frozen=True)
+class End:
+    """An end of the server."""
+
+    number: int
+    instance: str
+    at: float
+
+
+@attrs.define(kw_only=True)
+class Quarantine:
+    """Blames what ran on the server as it ended, and lets suspects run by turns."""
+
+    rt: runtime.Runtime
+    records: records.Records
+    tell: Callable[[list[messages.Suspect]], None]
+    """Tells all other daemons."""
+    trials: trials.Trials = attrs.Factory(trials.Trials)
+    losses: losses.Losses = attrs.Factory(losses.Losses)
+    proven: proven.Proven = attrs.Factory(proven.Proven)
+    _end: End | None = None
+    _untold: dict[digests.Digest, messages.Suspect] = attrs.Factory(dict)
+
+    def served(self, now: float, job: jobs.Job) -> None:
+        """Have a request that ended well speak for itself from now on."""
+        self.proven.add(job.forward)
+        record = self.records.of_forward(job.forward)
+        if record is None:
+            return
+        self._note(record, job.forward.request_id, "excused")
+        if not self._untold:
+            self.rt.at(now + TELL_S, TellTimer())
+        self._untold[record.digest] = self.records.excuse(now, record)
+
+    def tell_excused(self) -> None:
+        """Tell the other daemons which suspects have succeeded."""
+        untold, self._untold = list(self._untold.values()), {}
+        self.tell(untold)
+
+    def server_ended(self, now: float, lost: list[jobs.Job]) -> None:
+        """Blame what ran on the server and is not known to end well."""
+        instance = lost[0].forward.instance
+        end = self._number(now, instance)
+        all_ran = [digests.of_forward(job.forward) for job in lost]
+        ran = dict(zip(all_ran, lost, strict=True))
+        blamed = [one for one, job in ran.items() if job.forward not in self.proven]
+        self.rt.note(
+            "server-ended",
+            instance=instance,
+            end=end,
+            count=len(lost),
+            ran=[one.hex()[:LINE_HEX] for one in all_ran],
+            proven=len(ran) - len(blamed),
+        )
+        if not blamed:
+            return
+        self.tell(self.records.blame(now, end, blamed))
+        for digest in blamed:
+            record = self.records.by_digest.get(digest)
+            if record is not None and record.level >= records.ALONE_AT:
+                outcome = "condemned" if record.condemned else "suspected"
+                self._note(record, ran[digest].forward.request_id, outcome)
+
+    def lifetime_began(self) -> None:
+        """Forget what ended well: another lifetime may run other software."""
+        self.proven.clear()
+
+    def copies(
+        self, changed: list[records.Record], running: dict[int, jobs.Job]
+    ) -> list[jobs.Job]:
+        """Return the runs here of requests that are suspect by another box's word."""
+        suspects = [one for one in changed if one.level]
+        if not suspects:
+            return []
+        found = [
+            (job, self.records.of_forward(job.forward)) for job in running.values()
+        ]
+        return [job for job, record in found if record in suspects]
+
+    def _number(self, now: float, instance: str) -> int:
+        end = self._end
+        same = end is not None and end.instance == instance
+        if not same or now - end.at > SAME_END_S:
+            number = int(self.rt.rng.random() * 2**END_BITS)
+            self._end = End(number=number, instance=instance, at=now)
+        return self._end.number
+
+    def _note(self, record: records.Record, request_id: str, outcome: str) -> None:
+        self.rt.note(
+            "suspect",
+            request_id=request_id,
+            outcome=outcome,
+            digest=record.digest.hex(),
+            ends=sorted(record.ends),
+            level=record.level,
+        )
--- /dev/null
+++ b/ferrydeck/mesh/suspects/records.py
@@ -0,0 +1,169 @@
+"""What is known of requests that ran on servers as these ended.
+
+A request is suspect after one end and condemned after three. What daemons tell each
+other are sets that only grow, of ends and of those that a success speaks for, so words
+may come late, twice and in any order.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from ferrydeck.mesh import messages
+from ferrydeck.mesh.suspects import digests
+
+CONDEMNED_AT = 3
+"""Ends of servers after which a request is run no more: what was agreed with users."""
+ALONE_AT = 2
+"""Ends after which it runs only where no other suspect does, so that one more end
+tells which of them it was."""
+KEPT_S = 900.0
+"""How long a request is remembered after the last end under it, seconds: callers come
+again for minutes at the most, and an operator has read the lines by then."""
+RECORDS_MOST = 1024
+"""Requests that are remembered at most: six servers with 168 slots. Measured at 560
+bytes each, they take 0.6 MB."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Record:
+    """A request that ran on servers as these ended."""
+
+    digest: digests.Digest
+    ends: set[int] = attrs.Factory(set)
+    """Numbers of the ends."""
+    excused: set[int] = attrs.Factory(set)
+    """Those of them that a later success speaks for."""
+    last: float = 0.0
+    """When the last of them came, by this daemon's clock."""
+
+    @property
+    def level(self) -> int:
+        """Ends under it that nothing speaks for."""
+        return len(self.ends - self.excused)
+
+    @property
+    def condemned(self) -> bool:
+        """Whether it is to be run no more."""
+        return self.level >= CONDEMNED_AT
+
+    def left_s(self, now: float) -> float:
+        """Return how long it is still remembered, seconds."""
+        return max(0.0, self.last + KEPT_S - now)
+
+
+@attrs.define(kw_only=True)
+class Records:
+    """The requests that are remembered, by digest."""
+
+    by_digest: dict[digests.Digest, Record] = attrs.Factory(dict)
+    _heads: collections.Counter[bytes] = attrs.Factory(collections.Counter)
+    """First halves of their digests."""
+
+    def find(
+        self,
+        *,
+        method: str,
+        fields: messages.Fields,
+        target: str,
+        team: str,
+        body: Callable[[], bytes],
+    ) -> Record | None:
+        """Return the record of a request that is suspect, `None` for any other.
+
+        While nothing is remembered this costs nothing, and a body is hashed only where
+        all else of the request is that of a suspect.
+        """
+        if not self._heads:
+            return None
+        head = digests.head(method, digests.host_of(fields), target, team)
+        if head not in self._heads:
+            return None
+        record = self.by_digest.get(digests.whole(head, body()))
+        return record if record is not None and record.level else None
+
+    def of_forward(self, forward: messages.Forward) -> Record | None:
+        """Return the record of a request at a gate, if it is suspect."""
+        return self.find(
+            method=forward.method,
+            fields=forward.fields,
+            target=forward.target,
+            team=forward.team_name,
+            body=lambda: forward.body,
+        )
+
+    def blame(
+        self, now: float, end: int, ran: Iterable[digests.Digest]
+    ) -> list[messages.Suspect]:
+        """Note what ran on a server as it ended; return what others are to know."""
+        told = []
+        for digest in ran:
+            record = self._record(digest)
+            record.ends.add(end)
+            record.last = now
+            told.append(self._told(now, record))
+        self._trim(now)
+        return told
+
+    def excuse(self, now: float, record: Record) -> messages.Suspect:
+        """Have a success speak for a request; return what others are to know."""
+        record.excused |= record.ends
+        return self._told(now, record)
+
+    def merge(self, now: float, told: Iterable[messages.Suspect]) -> list[Record]:
+        """Take the word of another daemon; return what has changed by it."""
+        changed = []
+        for one in told:
+            if one.age_s >= KEPT_S:
+                continue
+            record = self._record(one.digest)
+            before = (len(record.ends), len(record.excused))
+            record.ends.update(one.ends)
+            record.excused.update(one.excused)
+            record.last = max(record.last, now - one.age_s)
+            if before != (len(record.ends), len(record.excused)):
+                changed.append(record)
+        self._trim(now)
+        return changed
+
+    def to_tell(self, now: float) -> list[messages.Suspect]:
+        """Return all that another daemon may not know."""
+        self._trim(now)
+        return [self._told(now, record) for record in self.by_digest.values()]
+
+    def _record(self, digest: digests.Digest) -> Record:
+        record = self.by_digest.get(digest)
+        if record is None:
+            record = self.by_digest[digest] = Record(digest=digest)
+            self._heads[digests.head_of(digest)] += 1
+        return record
+
+    def _told(self, now: float, record: Record) -> messages.Suspect:
+        return messages.Suspect(
+            digest=record.digest,
+            ends=sorted(record.ends),
+            excused=sorted(record.excused),
+            age_s=round(max(0.0, now - record.last), 3),
+        )
+
+    def _trim(self, now: float) -> None:
+        """Forget what is old, and where there is too much, what speaks for least."""
+        old = [one for one in self.by_digest.values() if now - one.last > KEPT_S]
+        for record in old:
+            self._forget(record)
+        over = len(self.by_digest) - RECORDS_MOST
+        if over <= 0:
+            return
+        least = sorted(self.by_digest.values(), key=lambda one: (one.level, one.last))
+        for record in least[:over]:
+            self._forget(record)
+
+    def _forget(self, record: Record) -> None:
+        del self.by_digest[record.digest]
+        head = digests.head_of(record.digest)
+        self._heads[head] -= 1
+        if not self._heads[head]:
+            del self._heads[head]
--- a/ferrydeck/net/mesh_driver.py
+++ b/ferrydeck/net/mesh_driver.py
@@ -395,7 +395,10 @@
 
     def _probe_heard(self, event: server_client.Event) -> None:
         if not isinstance(event, server_client.Head):
-            self.feed(events.ProbeAnswered(well=False, instance="", slots=0))
+            refused = isinstance(event, server_client.Failed) and event.refused
+            self.feed(
+                events.ProbeAnswered(well=False, instance="", slots=0, refused=refused)
+            )
             return
         facts = headers.read_answer(event.status, event.fields)
         self.feed(
--- a/ferrydeck/replay/mesh_world.py
+++ b/ferrydeck/replay/mesh_world.py
@@ -652,6 +652,7 @@
             well=right if server.health is None else server.health,
             instance=server.instance if server.up else "",
             slots=server.slots,
+            refused=not server.up,
         )
         self.feed_later(box, probed, 0.001)
 
