One clock for the product: one that goes on while a box is suspended

Cause: every loop read the steady clock, which does not count a suspension, so proofs of keys, shares of allotments, leases, retry budgets and callers' deadlines were younger than they are by it. Ruled out: watching the time of day, which jumps by itself. The fake clock of tests/net has the new method's name; what it checks is unchanged.

--- a/ferrydeck/audit.py
+++ b/ferrydeck/audit.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import collections
-import datetime
 
 import attrs
 import logbook
 
+from ferrydeck import clock
+
 log = logbook.Logger(__name__)
 
 KEPT = 2000
@@ -36,7 +37,7 @@
 
     def add(self, action: str, detail: str) -> None:
         """Add a change, and log it."""
-        moment = datetime.datetime.now(datetime.UTC).isoformat(timespec="milliseconds")
+        moment = clock.utc_now().isoformat(timespec="milliseconds")
         self.entries.append(
             Entry(
                 time=moment,
--- /dev/null
+++ b/ferrydeck/clock.py
@@ -0,0 +1,26 @@
+"""The clocks of a process: the only module that reads any.
+
+A box may be suspended for seconds. The steady clock of most libraries stands still
+meanwhile, so that a lease, a proof, a retry budget or the time of a caller would seem
+younger than they are by all of it. The clock here goes on, and only forward.
+"""
+
+from __future__ import annotations
+
+import datetime
+import time
+
+
+def now() -> float:
+    """Return the time since the box started, its suspensions included, seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def wall_ns() -> int:
+    """Return the time of day, which may jump either way, nanoseconds."""
+    return time.time_ns()
+
+
+def utc_now() -> datetime.datetime:
+    """Return the time of day, for stamps of lines."""
+    return datetime.datetime.now(datetime.UTC)
--- a/ferrydeck/commands/call.py
+++ b/ferrydeck/commands/call.py
@@ -4,9 +4,8 @@
 
 import argparse
 import http.client
-import time
 
-from ferrydeck import outcomes
+from ferrydeck import clock, outcomes
 from ferrydeck.commands import client
 from ferrydeck.core import effects, headers
 
@@ -31,7 +30,7 @@
     if args.deadline_ms:
         fields[headers.DEADLINE] = str(args.deadline_ms)
     method = "GET" if args.post is None else "POST"
-    started = time.monotonic()
+    started = clock.now()
     try:
         answer = client.fetch(
             args.entry,
@@ -48,7 +47,7 @@
         "status": answer.status,
         "box": answer.headers.get(headers.BOX, ""),
         "attempts": int(answer.headers.get(headers.ATTEMPTS, "0")),
-        "ms": round((time.monotonic() - started) * 1000, 1),
+        "ms": round((clock.now() - started) * 1000, 1),
         "retry_after_ms": answer.headers.get(headers.RETRY_AFTER_MS, ""),
         "body": answer.body.decode("utf-8", "replace"),
     }
--- a/ferrydeck/commands/drain.py
+++ b/ferrydeck/commands/drain.py
@@ -7,7 +7,7 @@
 import json
 import time
 
-from ferrydeck import outcomes
+from ferrydeck import clock, outcomes
 from ferrydeck.commands import client
 
 EXAMPLE = "ferrydeck drain 127.0.0.1:9100 --wait-s 30"
@@ -26,9 +26,9 @@
     """Ask for the drain and wait until nothing is in flight."""
     try:
         client.fetch(args.admin, "POST", "/drain")
-        ends = time.monotonic() + args.wait_s
+        ends = clock.now() + args.wait_s
         table = status(args.admin)
-        while not drained(table) and time.monotonic() < ends:
+        while not drained(table) and clock.now() < ends:
             time.sleep(PAUSE_S)
             table = status(args.admin)
     except (OSError, ValueError, http.client.HTTPException) as exc:
--- a/ferrydeck/daemon.py
+++ b/ferrydeck/daemon.py
@@ -6,11 +6,10 @@
 import errno
 import random
 import sys
-import time
 
 import circuits
 
-from ferrydeck import audit, logs
+from ferrydeck import audit, clock, logs
 from ferrydeck.config import findings, settings
 from ferrydeck.core import node, runtime
 from ferrydeck.net import admin, driver
@@ -55,7 +54,7 @@
 
 def run(cfg: settings.Settings) -> None:
     """Run the daemon until it is stopped."""
-    incarnation = time.time_ns() // 1000
+    incarnation = clock.wall_ns() // 1000
     app = circuits.Component(channel="app")
     poller = pollers.Poller().register(app)
     trail = audit.Trail(box=cfg.box, incarnation=incarnation)
--- a/ferrydeck/decisions.py
+++ b/ferrydeck/decisions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import datetime
 import os
 import sys
 from collections.abc import Callable
@@ -116,8 +115,3 @@
         told["box"] = self.box
         told["incarnation"] = self.incarnation
         log.info("", extra={"line": told})
-
-
-def utc_now() -> datetime.datetime:
-    """Return the time of day, for the stamps of log lines."""
-    return datetime.datetime.now(datetime.UTC)
--- a/ferrydeck/mesh_daemon.py
+++ b/ferrydeck/mesh_daemon.py
@@ -7,11 +7,10 @@
 import random
 import signal
 import sys
-import time
 
 import circuits
 
-from ferrydeck import decisions
+from ferrydeck import clock, decisions
 from ferrydeck.config import findings, mesh_settings
 from ferrydeck.mesh import core, runtime
 from ferrydeck.net import mesh_driver
@@ -61,7 +60,7 @@
 
     `reloads` has an entry if the settings may have changed since they were read.
     """
-    incarnation = time.time_ns() // 1000
+    incarnation = clock.wall_ns() // 1000
     app = circuits.Component(channel="app")
     poller = pollers.Poller().register(app)
     node = make_core(cfg, incarnation)
--- a/ferrydeck/net/admin.py
+++ b/ferrydeck/net/admin.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import time
-
 import attrs
 import msgspec
 from circuits import web
 
+from ferrydeck import clock
 from ferrydeck.net import driver
 
 JSON = "application/json"
@@ -49,7 +48,7 @@
 def status_of(drv: driver.Driver) -> Status:
     """Return how the daemon stands now."""
     core = drv.core
-    now = time.monotonic()
+    now = clock.now()
     active = core.rt.active
     owned = core.owner.owned
     return Status(
@@ -93,7 +92,7 @@
     def metrics(self) -> bytes:
         """Return the metrics in the text form of Prometheus."""
         self.response.headers["Content-Type"] = "text/plain; version=0.0.4"
-        now = time.monotonic()
+        now = clock.now()
         drv = self.drv
         return drv.metrics.render(drv.core, drv.peers, drv.links, now)
 
--- a/ferrydeck/net/driver.py
+++ b/ferrydeck/net/driver.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import collections
-import time
 
 import circuits
 import logbook
 
-from ferrydeck import audit, metrics
+from ferrydeck import audit, clock, metrics
 from ferrydeck.config import settings
 from ferrydeck.core import effects, events, node
 from ferrydeck.net import (
@@ -58,13 +57,13 @@
         self._pending: collections.deque[events.Event] = collections.deque()
         self._feeding = False
         self._sweep_at = 0.0
-        self._settle_gc_at = time.monotonic() + SETTLE_GC_S
+        self._settle_gc_at = clock.now() + SETTLE_GC_S
         self._servers: list[http_server.HttpServer] = []
         self._open(poller)
 
     def start_core(self) -> None:
         """Start the core, once everything else is there."""
-        self._carry_out(self.core.start(time.monotonic()))
+        self._carry_out(self.core.start(clock.now()))
 
     def feed(self, event: events.Event) -> None:
         """Give the core an event, after those that wait already."""
@@ -75,13 +74,13 @@
         try:
             while self._pending:
                 event = self._pending.popleft()
-                self._carry_out(self.core.handle(time.monotonic(), event))
+                self._carry_out(self.core.handle(clock.now(), event))
         finally:
             self._feeding = False
 
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
-        now = time.monotonic()
+        now = clock.now()
         wake = self.core.next_wake()
         if wake is not None and wake <= now:
             self.feed(events.Wake())
@@ -91,7 +90,7 @@
             self.peers.retry()
             event.reduce_time_left(peers.RETRY_EVERY_S)
         if wake is not None:
-            event.reduce_time_left(max(0.0, wake - time.monotonic()))
+            event.reduce_time_left(max(0.0, wake - clock.now()))
 
     @circuits.handler("signal", channel="*")
     def _on_signal(self, signo: int, stack: object) -> None:
@@ -107,7 +106,7 @@
     def leave(self, *, end: bool, reason: str) -> None:
         """Begin to leave; with `end` the process ends when its work is done."""
         if end and self.stop_limit_at is None:
-            self.stop_limit_at = time.monotonic() + self.cfg.stop_limit_s
+            self.stop_limit_at = clock.now() + self.cfg.stop_limit_s
         self.feed(events.StopAsked(end=end, reason=reason))
         if not end:
             return
@@ -216,7 +215,7 @@
             case effects.Audit(action=action, detail=detail):
                 self.trail.add(action, detail)
             case effects.Ended():
-                self.end_at = time.monotonic() + FLUSH_S
+                self.end_at = clock.now() + FLUSH_S
 
     def _dispatch(self, effect: effects.DispatchTarget) -> None:
         self.target.request(
@@ -225,7 +224,7 @@
             path=effect.path,
             headers=effect.headers,
             body=effect.body,
-            deadline=time.monotonic() + effect.timeout_s,
+            deadline=clock.now() + effect.timeout_s,
         )
 
     def _target_heard(self, event: http_client.Event) -> None:
--- a/ferrydeck/net/ingress.py
+++ b/ferrydeck/net/ingress.py
@@ -8,11 +8,11 @@
 
 import itertools
 import socket
-import time
 from collections.abc import Callable
 
 import attrs
 
+from ferrydeck import clock
 from ferrydeck.mesh import messages
 from ferrydeck.net import bodies, http, poller, sockets
 
@@ -106,14 +106,14 @@
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.adopt(CallerConn(sock=sock, source=ip, since=time.monotonic()))
+            self.adopt(CallerConn(sock=sock, source=ip, since=clock.now()))
 
     def data_read(self, conn: CallerConn, data: bytes) -> None:
         """Read a request, or hold it while another one is answered."""
         if not conn.number:
             if not conn.inbuf and conn.head is None:
                 # The time for a head runs from its first byte on.
-                conn.since = time.monotonic()
+                conn.since = clock.now()
             conn.inbuf += data
             self._next_request(conn)
             return
@@ -238,7 +238,7 @@
         conn.reader = None
         conn.streaming = False
         conn.owed = 0
-        conn.since = time.monotonic()
+        conn.since = clock.now()
         self.resume_reading(conn)
 
     def _release(self, conn: CallerConn) -> None:
@@ -304,7 +304,7 @@
         conn.body += data
         self.held += len(data)
         if data:
-            conn.since = time.monotonic()
+            conn.since = clock.now()
         if len(conn.body) > self.limits.body_bytes:
             self._reject(conn, http.Malformed(status=413, detail="body too large"))
             return False
--- a/ferrydeck/net/links.py
+++ b/ferrydeck/net/links.py
@@ -11,11 +11,11 @@
 import collections
 import socket
 import struct
-import time
 from collections.abc import Callable
 
 import attrs
 
+from ferrydeck import clock
 from ferrydeck.core import effects, events
 from ferrydeck.net import poller, sockets
 from ferrydeck.wire import codec, messages
@@ -161,7 +161,7 @@
         sock = sockets.dial(effect.address)
         if sock is None:
             return None
-        link = Link(sock=sock, address=effect.address, used=time.monotonic())
+        link = Link(sock=sock, address=effect.address, used=clock.now())
         self.out[effect.address] = link
         self.adopt(link)
         self.await_writable(link)
@@ -170,7 +170,7 @@
     def _write(self, link: Link, effect: effects.SendPeer) -> None:
         frame = self.encode(effect)
         self.bytes_out += len(frame)
-        link.used = time.monotonic()
+        link.used = clock.now()
         self.send(link, LENGTH.pack(len(frame)) + frame)
 
     def _blocked(self, effect: effects.SendPeer) -> None:
--- a/ferrydeck/net/mesh_driver.py
+++ b/ferrydeck/net/mesh_driver.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import collections
-import time
 from typing import Any
 
 import attrs
 import circuits
 import logbook
 
-from ferrydeck import decisions, mesh_metrics
+from ferrydeck import clock, decisions, mesh_metrics
 from ferrydeck.config import findings, mesh_settings
 from ferrydeck.mesh import core, effects, events, store
 from ferrydeck.net import (
@@ -70,7 +69,7 @@
         self._pending: collections.deque[events.Event] = collections.deque()
         self._feeding = False
         self._sweep_at = 0.0
-        self._settle_gc_at = time.monotonic() + SETTLE_GC_S
+        self._settle_gc_at = clock.now() + SETTLE_GC_S
         self._ids: dict[int, str] = {}
         """Ids of open requests by their number at the ingress."""
         self._open()
@@ -78,7 +77,7 @@
 
     def start_core(self) -> None:
         """Start the core, once everything else is there."""
-        self._carry_out(self.node.start(time.monotonic()))
+        self._carry_out(self.node.start(clock.now()))
 
     def feed(self, event: events.Event) -> None:
         """Give the core an event, after those that wait already."""
@@ -89,7 +88,7 @@
         try:
             while self._pending:
                 event = self._pending.popleft()
-                self._carry_out(self.node.handle(time.monotonic(), event))
+                self._carry_out(self.node.handle(clock.now(), event))
         finally:
             self._feeding = False
 
@@ -103,7 +102,7 @@
 
     def due_work(self) -> float:
         """Do what is due; return the time until more is, seconds."""
-        now = time.monotonic()
+        now = clock.now()
         if self._reload_due:
             self._reload()
         wake = self.node.next_wake()
@@ -113,7 +112,7 @@
         if now >= self._sweep_at:
             self._sweep(now)
         until = self._sweep_at if wake is None else min(wake, self._sweep_at)
-        return max(0.0, until - time.monotonic())
+        return max(0.0, until - clock.now())
 
     @circuits.handler("signal", channel="*")
     def _on_signal(self, signo: int, stack: object) -> None:
@@ -181,7 +180,7 @@
             return
         self.decisions.failed_per_s = cfg.log.failed_per_s
         self.decisions.served_per_s = cfg.log.served_per_s
-        self.node.seeds_changed(time.monotonic(), cfg.seed_links)
+        self.node.seeds_changed(clock.now(), cfg.seed_links)
         kept = attrs.evolve(cfg, log=self.cfg.log, seeds=self.cfg.seeds)
         outcome = "taken" if kept == self.cfg else "needs-restart"
         self.note("reload", outcome)
@@ -237,7 +236,7 @@
         if not known:
             self.ready.reply(request.conn, 404, [], b"")
             return
-        status = 200 if self.node.ready(time.monotonic()) else 503
+        status = 200 if self.node.ready(clock.now()) else 503
         self.ready.reply(request.conn, status, [], b"")
 
     def _scraped(self, request: ingress.Request) -> None:
@@ -246,7 +245,7 @@
             return
         body = self.metrics.render(
             self.node,
-            time.monotonic(),
+            clock.now(),
             link_bytes_in=self.links.bytes_in,
             link_bytes_out=self.links.bytes_out,
             server_connections_opened=self.server.opened,
@@ -346,11 +345,11 @@
             case effects.StopTaking():
                 self.calls.stop_keeping()
             case effects.End():
-                self.end_at = time.monotonic() + FLUSH_S
+                self.end_at = clock.now() + FLUSH_S
 
     def _noted(self, note: effects.Note) -> None:
         self.metrics.decided(note)
-        self.decisions.write(time.monotonic(), note)
+        self.decisions.write(clock.now(), note)
 
     def _reply(self, effect: effects.Reply) -> None:
         self._ids.pop(effect.conn, None)
--- a/ferrydeck/net/peers.py
+++ b/ferrydeck/net/peers.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import collections
-import time
 from collections.abc import Callable
 
 import attrs
 import circuits
 import pynng
 
+from ferrydeck import clock
 from ferrydeck.core import effects, events
 from ferrydeck.net import poller
 from ferrydeck.wire import codec
@@ -99,7 +99,7 @@
             address=self.address,
             receiver=effect.incarnation,
             bundle=self.version(),
-            sent=time.monotonic(),
+            sent=clock.now(),
         )
 
     def send(self, effect: effects.SendPeer) -> None:
@@ -161,7 +161,7 @@
             sock.dial(f"tcp://{address}", block=False)
             link = self.links[address] = Link(sock=sock, used=0.0)
         self.addresses[box] = address
-        link.used = time.monotonic()
+        link.used = clock.now()
         return link
 
     def _push(self, link: Link, data: bytes) -> bool:
--- a/ferrydeck/net/platform_client.py
+++ b/ferrydeck/net/platform_client.py
@@ -4,12 +4,12 @@
 
 import itertools
 import json
-import time
 import urllib.parse
 from collections.abc import Callable
 
 import attrs
 
+from ferrydeck import clock
 from ferrydeck.core import events, platform
 from ferrydeck.net import http_client, poller
 
@@ -126,7 +126,7 @@
             path=form.path,
             headers=(),
             body=form.body,
-            deadline=time.monotonic() + self.timeout_s + wait_s,
+            deadline=clock.now() + self.timeout_s + wait_s,
         )
 
     def _heard(self, event: http_client.Event) -> None:
--- a/ferrydeck/net/server_client.py
+++ b/ferrydeck/net/server_client.py
@@ -4,11 +4,11 @@
 
 import errno
 import socket
-import time
 from collections.abc import Callable
 
 import attrs
 
+from ferrydeck import clock
 from ferrydeck.mesh import messages
 from ferrydeck.net import bodies, http, poller, sockets
 
@@ -123,7 +123,7 @@
         left_s: float,
     ) -> None:
         """Send a request; its answer, or the loss of it, comes to the listener."""
-        now = time.monotonic()
+        now = clock.now()
         conn = self._rested(now) or self._connect()
         if conn is None:
             self.listener(
@@ -324,7 +324,7 @@
             return
         told = rest_s(conn.fields)
         conn.rest_s = told * REST_SHARE if told is not None else conn.rest_s
-        conn.rested_at = time.monotonic()
+        conn.rested_at = clock.now()
         conn.rest_until = conn.rested_at + conn.rest_s
         self.resume_reading(conn)
         self.resting.append(conn)
@@ -343,7 +343,7 @@
 
     def _learn_forgotten(self, conn: ServerConn) -> None:
         """Note a connection that the server had forgotten while it rested."""
-        now = time.monotonic()
+        now = clock.now()
         answered = conn.head is not None or conn.inbuf
         if not conn.rested_s or answered or now - conn.taken_at > FORGOTTEN_S:
             return
@@ -358,7 +358,7 @@
         deadline: float,
     ) -> None:
         conn.ticket = ticket
-        conn.taken_at = time.monotonic()
+        conn.taken_at = clock.now()
         conn.wanted = wanted
         conn.deadline = deadline
         conn.head = None
--- a/ferrydeck/net/store_client.py
+++ b/ferrydeck/net/store_client.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import itertools
-import time
 from collections.abc import Callable
 
 import attrs
 
+from ferrydeck import clock
 from ferrydeck.mesh import store
 from ferrydeck.net import http_client, poller
 from ferrydeck.platform import kv
@@ -70,7 +70,7 @@
             path=call.path,
             headers=CONTENT_TYPE if call.body else (),
             body=call.body,
-            deadline=time.monotonic() + TIMEOUT_S + wait_s,
+            deadline=clock.now() + TIMEOUT_S + wait_s,
         )
 
     def _heard(self, event: http_client.Event) -> None:
--- a/ferrydeck/standins/app_server.py
+++ b/ferrydeck/standins/app_server.py
@@ -5,11 +5,11 @@
 import enum
 import http.client
 import json
-import time
 
 import attrs
 import msgspec
 
+from ferrydeck import clock
 from ferrydeck.standins import loop
 from ferrydeck.wire import messages
 
@@ -122,7 +122,7 @@
     def _write_down(self, ran: Ran) -> None:
         """Write a run to standard output, where it outlives this process."""
         line = {"ran": ran.request_id, "instance": self.instance}
-        line["at"] = time.monotonic()
+        line["at"] = clock.now()
         print(json.dumps(line), flush=True)
 
     def _finish(self, req: loop.Asked, fields: dict[str, str]) -> None:
@@ -199,4 +199,4 @@
 
 def new_instance() -> str:
     """Return an id that no other lifetime has."""
-    return f"i-{time.time_ns():x}"
+    return f"i-{clock.wall_ns():x}"
--- a/ferrydeck/standins/fleet.py
+++ b/ferrydeck/standins/fleet.py
@@ -16,12 +16,12 @@
 import subprocess
 import sys
 import threading
-import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
 import attrs
 
+from ferrydeck import clock
 from ferrydeck.commands import client
 from ferrydeck.standins import sample
 
@@ -92,13 +92,13 @@
     condition: Callable[[], Any], what: str, *, within_s: float = START_S
 ) -> Any:
     """Wait until a condition holds and return its value; fail after `within_s`."""
-    ends = time.monotonic() + within_s
+    ends = clock.now() + within_s
     pause = threading.Event()
     while True:
         with contextlib.suppress(OSError, http.client.HTTPException):
             if value := condition():
                 return value
-        if time.monotonic() > ends:
+        if clock.now() > ends:
             raise AssertionError(f"not within {within_s} s: {what}")
         pause.wait(STEP_S)
 
--- a/ferrydeck/standins/kv_store.py
+++ b/ferrydeck/standins/kv_store.py
@@ -4,11 +4,11 @@
 
 import base64
 import enum
-import time
 
 import attrs
 import msgspec
 
+from ferrydeck import clock
 from ferrydeck.standins import kv_state, loop
 
 EXPIRE_EVERY_S = 0.05
@@ -100,7 +100,7 @@
             case "POST", "/api/kv-lease":
                 wanted = msgspec.json.decode(req.body)["ttl_time"]
                 ttl_s = int(wanted.removesuffix("ms")) / 1000
-                lease = self.state.grant(time.monotonic(), ttl_s)
+                lease = self.state.grant(clock.now(), ttl_s)
                 self._done(req, {"lease": lease, "ttl_time": wanted})
             case "POST", _ if req.path.startswith("/api/kv-keep/"):
                 self._keep(req)
@@ -135,7 +135,7 @@
             call=req.call,
             prefix=req.query["path_prefix"],
             after=int(req.query["after"]),
-            ends=time.monotonic() + int(req.query["wait_ms"]) / 1000,
+            ends=clock.now() + int(req.query["wait_ms"]) / 1000,
         )
         if not self._tell(watcher):
             self.watchers[req.call] = watcher
@@ -159,7 +159,7 @@
         self.answer(req.call, 412, {"items": items})
 
     def _keep(self, req: loop.Asked) -> None:
-        ttl_s = self.state.keep(time.monotonic(), number_in(req.path))
+        ttl_s = self.state.keep(clock.now(), number_in(req.path))
         if ttl_s is None:
             self.answer(req.call, 404, {})
             return
@@ -183,7 +183,7 @@
         if changes is None:
             self.answer(watcher.call, 410, {})
             return True
-        if not changes and time.monotonic() < watcher.ends:
+        if not changes and clock.now() < watcher.ends:
             return False
         told = [shown_change(one) for one in changes]
         self.answer(watcher.call, 200, {"events": told, "at": self.state.revision})
@@ -191,7 +191,7 @@
 
     def _expire(self) -> None:
         self.after(EXPIRE_EVERY_S, self._expire)
-        self.state.expire(time.monotonic())
+        self.state.expire(clock.now())
         self._tell_watchers()
 
 
--- a/ferrydeck/standins/loop.py
+++ b/ferrydeck/standins/loop.py
@@ -4,7 +4,6 @@
 
 import heapq
 import itertools
-import time
 import urllib.parse
 from collections.abc import Callable
 
@@ -12,6 +11,7 @@
 import circuits
 import msgspec
 
+from ferrydeck import clock
 from ferrydeck.core import effects, events
 from ferrydeck.net import http_server, poller
 from ferrydeck.wire import messages
@@ -64,7 +64,7 @@
 
     def after(self, delay_s: float, action: Callable[[], None]) -> None:
         """Run an action after some time."""
-        due = time.monotonic() + delay_s
+        due = clock.now() + delay_s
         heapq.heappush(self.timers, (due, next(self.numbers), action))
 
     def answer(
@@ -90,10 +90,10 @@
 
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
-        while self.timers and self.timers[0][0] <= time.monotonic():
+        while self.timers and self.timers[0][0] <= clock.now():
             heapq.heappop(self.timers)[2]()
         if self.timers:
-            event.reduce_time_left(max(0.0, self.timers[0][0] - time.monotonic()))
+            event.reduce_time_left(max(0.0, self.timers[0][0] - clock.now()))
 
     def _feed(self, port: int, event: events.Event) -> None:
         match event:
--- a/ferrydeck/standins/platform.py
+++ b/ferrydeck/standins/platform.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import time
-
 import attrs
 import msgspec
 
+from ferrydeck import clock
 from ferrydeck.core import platform
 from ferrydeck.standins import loop, store
 
@@ -93,7 +92,7 @@
             self.waiters[req.call] = Waiter(call=req.call, request=request)
             self.after(request.wait_s, lambda: self._end_watch(req.call))
             return
-        result = self.store.apply(time.monotonic(), request)
+        result = self.store.apply(clock.now(), request)
         if isinstance(result, platform.Written):
             self._tell_waiters(request.key)
             if self.faults.lose_answers:
@@ -119,7 +118,7 @@
     def _end_watch(self, call: int) -> None:
         waiter = self.waiters.pop(call, None)
         if waiter is not None:
-            self._answer(call, self.store.apply(time.monotonic(), waiter.request))
+            self._answer(call, self.store.apply(clock.now(), waiter.request))
 
     def _tell_waiters(self, key: str) -> None:
         changed = [
--- a/ferrydeck/standins/target.py
+++ b/ferrydeck/standins/target.py
@@ -9,12 +9,12 @@
 
 import collections
 import functools
-import time
 import urllib.parse
 
 import attrs
 import msgspec
 
+from ferrydeck import clock
 from ferrydeck.core import headers
 from ferrydeck.net import http_client
 from ferrydeck.standins import loop
@@ -68,7 +68,7 @@
     ) -> None:
         super().__init__(ip=ip, ports=ports)
         self.behaviour = behaviour
-        self.started = time.monotonic()
+        self.started = clock.now()
         self.effects: list[Effect] = []
         self.busy = 0
         self.waiting: collections.deque[Work] = collections.deque()
@@ -126,14 +126,14 @@
                 self.answer(req.call, 404, {})
 
     def _lagging_load(self) -> int:
-        now = time.monotonic()
+        now = clock.now()
         if now - self.load_told[0] > self.behaviour.load_lag_s:
             self.load_told = (now, self.busy)
         return self.load_told[1]
 
     def _slots(self) -> int:
         """Return the slots open now: fewer while the target is cold."""
-        age = time.monotonic() - self.started
+        age = clock.now() - self.started
         if age >= self.behaviour.cold_start_s:
             return self.behaviour.slots
         return max(1, int(self.behaviour.slots * age / self.behaviour.cold_start_s))
@@ -152,7 +152,7 @@
                 key=headers.first(work.req.headers, headers.KEY),
                 path=work.req.path,
                 method=work.req.method,
-                at=time.monotonic(),
+                at=clock.now(),
             )
         )
         wanted = float(work.req.query.get("ms", self.behaviour.service_ms))
@@ -175,7 +175,7 @@
             path=urllib.parse.unquote(path),
             headers=(messages.Header(name=headers.CONTEXT, value=work.context),),
             body=b"",
-            deadline=time.monotonic() + NESTED_WAIT_S,
+            deadline=clock.now() + NESTED_WAIT_S,
         )
 
     def _heard(self, event: http_client.Event) -> None:
--- a/tests/net/test_server_client.py
+++ b/tests/net/test_server_client.py
@@ -17,10 +17,10 @@
     """A clock that the test sets."""
 
     def __init__(self) -> None:
-        self.now = 100.0
+        self.at = 100.0
 
-    def monotonic(self) -> float:
-        return self.now
+    def now(self) -> float:
+        return self.at
 
 
 class Bench:
@@ -73,7 +73,7 @@
 @pytest.fixture
 def clock(monkeypatch):
     made = Clock()
-    monkeypatch.setattr(server_client, "time", made)
+    monkeypatch.setattr(server_client, "clock", made)
     return made
 
 
@@ -88,7 +88,7 @@
     bench.request()
     conn = bench.accept()
     bench.answer(conn)
-    clock.now += 1.0
+    clock.at += 1.0
     bench.request()
     bench.answer(conn)
     assert bench.client.opened == 1
@@ -101,7 +101,7 @@
     second = bench.accept()
     bench.answer(first)
     bench.answer(second)
-    clock.now += 0.5
+    clock.at += 0.5
     bench.forget(second)
     bench.request()
     lost = bench.heard[-1]
@@ -111,7 +111,7 @@
     third = bench.accept()
     bench.answer(third)
     assert bench.client.opened == 3
-    clock.now += 0.2
+    clock.at += 0.2
     bench.request()
     bench.answer(third)
     assert bench.client.opened == 3
