A lifetime of a server is its id and its birth; odd words name no server

One entry of another writer among the records made the whole read fail, a report in an unknown state counted as leaving for good, one without state as ready. Change: names of lifetimes hold the birth in reports, words between daemons and the mark of a request; an older birth under the same id changes nothing; a health check, which tells no birth, does not open for an id of which a lifetime left. Reports need each of their fields; records are read one by one, odd ones counted in one line.

--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -19,6 +19,7 @@
     events,
     health,
     jobs,
+    lifetimes,
     lineage,
     messages,
     queueing,
@@ -460,7 +461,7 @@
                 fields=forward.fields,
                 body=forward.body,
                 request_id=forward.request_id,
-                instance=forward.instance,
+                instance=lifetimes.id_of(forward.instance),
                 caller=forward.caller,
                 team=job.team,
                 left_s=job.deadline - now,
@@ -505,7 +506,8 @@
     ) -> None:
         self._end(now, job)
         self.health.ended(now, failed=True)
-        if facts.instance and facts.instance != self.server.instance:
+        own = lifetimes.id_of(self.server.instance)
+        if facts.instance and facts.instance != own:
             self.server.replaced(now, facts.instance)
         rank = job.rank if self.rt.tuning.keep_offers_for_urgent else 0
         grants = self.rt.tuning.offer_shed_again
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -95,6 +95,7 @@
 
     phase: str
     instance: str
+    """The lifetime of the server (`lifetimes`)."""
     service: str
     slots: int
     cold_s: float
@@ -170,6 +171,7 @@
     number: int
     request_id: str
     instance: str
+    """The lifetime of the server that it is meant for (`lifetimes`)."""
     service: str
     """The service that the server is to belong to."""
     caller: str
@@ -290,6 +292,8 @@
     ready: bool
     gone: bool
     cold_s: float
+    born: int
+    """When its lifetime began, milliseconds since 1970; 0 if not told."""
 
 
 class BeatRelayed(Message, tag=16):
--- a/ferrydeck/mesh/registry.py
+++ b/ferrydeck/mesh/registry.py
@@ -93,6 +93,8 @@
     _keep_at: float = 0.0
     _put_at: float | None = None
     _boxes_at: float = 0.0
+    _odd: int = 0
+    """Entries among the records that could not be read, when last looked."""
     _boxes_pause_s: float = BOXES_FIRST_S
     _boxes_stale: bool = True
     """Whether the next read of the records may be seconds old."""
@@ -243,6 +245,9 @@
         if not isinstance(result, store.BoxesFound):
             return
         self.seen_boxes = True
+        if result.odd != self._odd:
+            self._odd = result.odd
+            self.rt.note("records", outcome="odd", count=result.odd)
         self.boxes_found(now, result.records)
         if request.stale and not self._boxes_stale:
             return
--- a/ferrydeck/mesh/reporting.py
+++ b/ferrydeck/mesh/reporting.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-from ferrydeck.mesh import effects, events, gate, messages, peers, runtime
+from ferrydeck.mesh import (
+    effects,
+    events,
+    gate,
+    lifetimes,
+    messages,
+    peers,
+    runtime,
+)
 
 RELAY_S = 0.8
 """How long a report that was handed on to a gate waits for its word, seconds: the
@@ -32,6 +40,14 @@
         """Take the report of a server, or hand it on to the gate that it is beside."""
         ip = beat.address.rpartition(":")[0]
         own = beat.address == self.rt.identity.server_address
+        if own and not beat.gone and beat.service != self.rt.identity.service:
+            # It names no server that may be used here, and says nothing of the one
+            # that is.
+            self.rt.note(
+                "report", outcome="odd", instance=beat.instance, service=beat.service
+            )
+            self.rt.emit(effects.AnswerBeat(conn=beat.conn, taken=False))
+            return
         if own or (beat.gone and self._may_be_own(beat.instance)):
             taken = self.gate.server.beat(now, beat)
             self.rt.emit(effects.AnswerBeat(conn=beat.conn, taken=taken))
@@ -54,18 +70,21 @@
             ready=beat.ready,
             gone=beat.gone,
             cold_s=beat.cold_s,
+            born=beat.born,
         )
         self.peers.send(now, peer, relay)
 
     def _may_be_own(self, instance: str) -> bool:
         """Tell whether a report without address can be about this box's server."""
         server = self.gate.server
-        return not server.instance or instance in {server.instance, *server.left}
+        known = {lifetimes.id_of(one) for one in (server.instance, *server.left)}
+        return not server.instance or instance in known
 
     def _peer_of(self, instance: str) -> peers.Peer | None:
         """Return the daemon beside a lifetime of a server."""
         for peer in self.peers.by_address.values():
-            if peer.gate is not None and peer.gate.instance == instance:
+            gate = peer.gate
+            if gate is not None and lifetimes.id_of(gate.instance) == instance:
                 return peer
         return None
 
@@ -81,6 +100,7 @@
             ready=relay.ready,
             gone=relay.gone,
             cold_s=relay.cold_s,
+            born=relay.born,
         )
         taken = self.gate.server.beat(now, beat)
         answer = messages.BeatRelayed(number=relay.number, taken=taken)
--- a/ferrydeck/mesh/servers.py
+++ b/ferrydeck/mesh/servers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ferrydeck.mesh import effects, events, messages, policy, runtime
+from ferrydeck.mesh import effects, events, lifetimes, messages, policy, runtime
 
 PROBE_RETRY_S = 0.5
 """Pause before a server that failed its health check is asked again, seconds."""
@@ -16,6 +16,9 @@
 REPORTS_LEAST = 2
 """Reports that open a gate against the health check, which may be wrong either way:
 a single one may have been on its way since before the server said that it leaves."""
+LIFETIMES_MOST = 64
+"""Lifetimes whose reports are told from late ones at most. A report may be seconds late
+and a server takes a second to start, so few of them can matter at once."""
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -46,6 +49,9 @@
     left: set[str] = attrs.Factory(set)
     """Lifetimes of the server that have said that they leave."""
     _sequences: dict[str, int] = attrs.Factory(dict)
+    """The highest sequence number of each lifetime's reports."""
+    _newest: dict[str, int] = attrs.Factory(dict)
+    """When the newest lifetime under each id was born, milliseconds since 1970."""
     _reports: int = 0
     """Reports in a row of one lifetime that it is ready, while the gate is not open."""
     _reported: str = ""
@@ -78,42 +84,51 @@
     def probed(self, now: float, event: events.ProbeAnswered) -> None:
         """Open for a server that is well, not leaving, and whose lifetime is known."""
         self._probing = False
-        usable = event.well and event.instance and event.instance not in self.left
-        if not usable:
+        if not event.well or not event.instance or self._may_have_left(event.instance):
             if self.phase is messages.Phase.UNKNOWN:
                 self.rt.at(now + PROBE_RETRY_S, ProbeTimer())
             return
         self.slots = event.slots or self.slots
-        if self.phase is messages.Phase.READY and event.instance == self.instance:
+        same = event.instance == lifetimes.id_of(self.instance)
+        if self.phase is messages.Phase.READY and same:
             return
-        self._open(now, event.instance, "probe")
+        newest = self._newest.get(event.instance, lifetimes.UNKNOWN)
+        self._open(now, lifetimes.name(event.instance, newest), "probe")
 
     def beat(self, now: float, beat: events.Beat) -> bool:
         """Take a report of the server; tell whether it may be acknowledged."""
-        last = self._sequences.get(beat.instance, -1)
+        newest = self._newest.get(beat.instance, lifetimes.UNKNOWN)
+        if beat.gone and not beat.born:
+            # The word of an end may have no body: the newest lifetime is meant.
+            beat = attrs.evolve(beat, born=newest)
+        if beat.born < newest:
+            # A late word of an earlier lifetime under the same id.
+            return True
+        lifetime = beat.lifetime
+        last = self._sequences.get(lifetime, -1)
         if beat.sequence <= last and not beat.gone:
             return True
-        self._sequences[beat.instance] = max(last, beat.sequence)
+        self._know(lifetime, max(last, beat.sequence))
         if beat.gone or not beat.ready:
-            self._leave(now, beat.instance, "gone" if beat.gone else "draining")
+            self._leave(now, lifetime, "gone" if beat.gone else "draining")
             return True
-        if beat.instance in self.left:
+        if lifetime in self.left:
             return True
-        other = self.instance and beat.instance != self.instance
+        other = self.instance and beat.instance != lifetimes.id_of(self.instance)
         if other and self.phase is messages.Phase.READY and last >= 0:
             # An old lifetime's late word after the new one's.
             return True
         self.heard_at = now
         self.slots = beat.slots or self.slots
         self.cold_until = max(self.cold_until, now + beat.cold_s)
-        if self.phase is messages.Phase.READY and self.instance == beat.instance:
+        if self.phase is messages.Phase.READY and self.instance == lifetime:
             return True
-        if self.phase is messages.Phase.UNKNOWN and not self._confirmed(beat.instance):
+        if self.phase is messages.Phase.UNKNOWN and not self._confirmed(lifetime):
             # The word may be older than a leaving that an earlier process of
             # this daemon acknowledged.
             self.probe(now)
             return True
-        self._open(now, beat.instance, "report")
+        self._open(now, lifetime, "report")
         return True
 
     def vouch(self, now: float, left: list[str]) -> None:
@@ -142,6 +157,33 @@
         self.phase = messages.Phase.DOWN
         self.closed(now, messages.Reason.CLOSED)
 
+    def _may_have_left(self, server_id: str) -> bool:
+        """Tell whether a health check may be that of a lifetime that leaves.
+
+        A server says its id there and not when it was born: where a lifetime under this
+        id has left, only a report shows that the one that answers is another.
+        """
+        born = self._newest.get(server_id, lifetimes.UNKNOWN)
+        if born and lifetimes.name(server_id, born) not in self.left:
+            return False
+        return any(lifetimes.id_of(one) == server_id for one in self.left)
+
+    def _know(self, lifetime: str, sequence: int) -> None:
+        """Note the newest report of a lifetime, and forget the oldest lifetimes."""
+        server_id = lifetimes.id_of(lifetime)
+        newest = self._newest.get(server_id, lifetimes.UNKNOWN)
+        self._newest[server_id] = max(newest, lifetimes.born(lifetime))
+        self._sequences.pop(lifetime, None)
+        self._sequences[lifetime] = sequence
+        if len(self._sequences) > LIFETIMES_MOST:
+            self._forget(next(iter(self._sequences)))
+
+    def _forget(self, lifetime: str) -> None:
+        del self._sequences[lifetime]
+        server_id = lifetimes.id_of(lifetime)
+        if self._newest.get(server_id) == lifetimes.born(lifetime):
+            del self._newest[server_id]
+
     def _confirmed(self, instance: str) -> bool:
         """Count a report; tell whether there are enough without a health check."""
         self._reports = self._reports + 1 if instance == self._reported else 1
@@ -149,6 +191,7 @@
         return self._reports >= REPORTS_LEAST
 
     def _open(self, now: float, instance: str, why: str) -> None:
+        """Take work for a lifetime of the server."""
         self.phase = messages.Phase.READY
         self.instance = instance
         self.heard_at = now
--- a/ferrydeck/mesh/store.py
+++ b/ferrydeck/mesh/store.py
@@ -104,6 +104,8 @@
     """All records."""
 
     records: tuple[BoxRecord, ...]
+    odd: int = 0
+    """Entries beside them that could not be read as records."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/platform/kv.py
+++ b/ferrydeck/platform/kv.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import ipaddress
 import urllib.parse
 from typing import Any
 
@@ -17,6 +18,7 @@
 BOXES = "ferrydeck/box/"
 PAGE_MORE = "more"
 STALE = "&stale=1"
+PORT_MOST = 65535
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -111,7 +113,9 @@
             return _policy(kept[-1], answer["at"])
         case store.ReadBoxes():
             items = [item for page in pages for item in page["items"]]
-            return store.BoxesFound(records=tuple(_record(item) for item in items))
+            records = [_record(item) for item in items]
+            found = tuple(one for one in records if one is not None)
+            return store.BoxesFound(records=found, odd=len(records) - len(found))
         case store.GrantLease():
             return store.Leased(
                 lease=answer["lease"], ttl_s=units.seconds(answer["ttl_time"])
@@ -128,8 +132,22 @@
     return store.PolicyFound(policy=made, at=at)
 
 
-def _record(item: dict[str, Any]) -> store.BoxRecord:
-    return msgspec.json.decode(base64.b64decode(item["value"]), type=store.BoxRecord)
+def _record(item: Any) -> store.BoxRecord | None:
+    """Return the record in an item, `None` where another writer put something else."""
+    try:
+        raw = base64.b64decode(item["value"], validate=True)
+        record = msgspec.json.decode(raw, type=store.BoxRecord)
+        host, port = _address(record.address)
+    except (msgspec.DecodeError, LookupError, TypeError, ValueError):
+        return None
+    whole = record.box and record.zone and record.service and host
+    return record if whole and 0 < port <= PORT_MOST else None
+
+
+def _address(address: str) -> tuple[str, int]:
+    """Return the IP and the port of an address; raises `ValueError` for any other."""
+    host, _, port = address.rpartition(":")
+    return str(ipaddress.ip_address(host.strip("[]"))), int(port)
 
 
 def _watch(prefix: str, after: int, wait_s: float) -> Call:
--- a/ferrydeck/platform/reports.py
+++ b/ferrydeck/platform/reports.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ferrydeck.mesh import events
+from ferrydeck.mesh import events, lifetimes
 from ferrydeck.platform import units
 
 PREFIX = "/api/instances/"
@@ -12,17 +12,34 @@
 READY = "ready"
 
 
+STATES = {READY: True, "draining": False}
+"""Whether a server in a state takes new work."""
+
+
 class Report(msgspec.Struct, kw_only=True):
-    """The body of a report."""
+    """The body of a report; one that lacks a field is not a server's own."""
+
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: str
+    sequence: int
+    """Rises with each call of one lifetime, so that late ones can be told."""
+    cold_remaining: str
+    """How much longer the server is slow from its start."""
+    born: int = lifetimes.UNKNOWN
+    """When the server started, milliseconds since 1970."""
+
+
+class LastReport(msgspec.Struct, kw_only=True):
+    """The body of the call with which a server ends; it may have none."""
 
     service: str = ""
     address: str = ""
-    slots: int = 0
-    state: str = READY
     sequence: int = 0
-    """Rises with each call of one lifetime, so that late ones can be told."""
-    cold_remaining: str = "0ms"
-    """How much longer the server is slow from its start."""
+    born: int = lifetimes.UNKNOWN
 
 
 def read(conn: int, method: str, path: str, body: bytes) -> events.Beat | None:
@@ -30,13 +47,22 @@
     instance = path.partition("?")[0].removeprefix(PREFIX)
     if not path.startswith(PREFIX) or not instance or "/" in instance:
         return None
-    gone = method == "DELETE"
-    if method not in ("PUT", "DELETE"):
-        return None
+    match method:
+        case "PUT":
+            return _report(conn, instance, body)
+        case "DELETE":
+            return _last_report(conn, instance, body)
+    return None
+
+
+def _report(conn: int, instance: str, body: bytes) -> events.Beat | None:
     try:
-        report = msgspec.json.decode(body, type=Report) if body else Report()
+        report = msgspec.json.decode(body, type=Report)
+        ready = STATES[report.state]
         cold_s = units.seconds(report.cold_remaining)
-    except (msgspec.DecodeError, ValueError):
+    except (msgspec.DecodeError, LookupError, ValueError):
+        return None
+    if report.born < 0 or report.sequence < 0 or report.slots < 0:
         return None
     return events.Beat(
         conn=conn,
@@ -45,7 +71,27 @@
         address=report.address,
         slots=report.slots,
         sequence=report.sequence,
-        ready=report.state == READY and not gone,
-        gone=gone,
+        ready=ready,
+        gone=False,
         cold_s=cold_s,
+        born=report.born,
+    )
+
+
+def _last_report(conn: int, instance: str, body: bytes) -> events.Beat | None:
+    try:
+        report = msgspec.json.decode(body, type=LastReport) if body else LastReport()
+    except msgspec.DecodeError:
+        return None
+    return events.Beat(
+        conn=conn,
+        instance=instance,
+        service=report.service,
+        address=report.address,
+        slots=0,
+        sequence=report.sequence,
+        ready=False,
+        gone=True,
+        cold_s=0.0,
+        born=max(lifetimes.UNKNOWN, report.born),
     )
--- a/ferrydeck/replay/mesh_world.py
+++ b/ferrydeck/replay/mesh_world.py
@@ -93,6 +93,8 @@
 
     instance: str
     service: str
+    born: int = 0
+    """When it was born, milliseconds; 0 for one that does not tell."""
     slots: int = 8
     work_s: float = 0.05
     works_s: tuple[tuple[str, float], ...] = ()
@@ -110,6 +112,8 @@
     """Prefixes of paths whose runs end the server in place of an answer."""
     down_s: float = 1.0
     """How long it is away when such a run has ended it, seconds."""
+    keeps_id: bool = False
+    """Whether it starts again under its id."""
     crashes: int = 0
     """How often its lifetimes have crashed."""
     at_work: dict[int, simpy.Event] = attrs.Factory(dict)
@@ -294,13 +298,16 @@
         self.report(box, ready=False, gone=by_leave, answered=acks.append)
         return acks
 
-    def replace_server(self, box: Box) -> None:
-        """Have a new lifetime of the server answer."""
+    def replace_server(self, box: Box, *, same_id: bool = False) -> None:
+        """Have a new lifetime of the server answer, under its id or another one."""
         box.server.at_work.clear()
         old = box.server
+        if same_id:
+            box.sequence = 0
         box.server = attrs.evolve(
             old,
-            instance=f"{old.instance}x",
+            instance=old.instance if same_id else f"{old.instance}x",
+            born=int(1000 * self.now) + 1 if old.born else 0,
             up=True,
             leaving=False,
             at_work={},
@@ -330,7 +337,7 @@
 
     def _server_back(self, box: Box, crashed: Server) -> None:
         if box.server is crashed:
-            self.replace_server(box)
+            self.replace_server(box, same_id=crashed.keeps_id)
             self.report(box, ready=True, gone=False, answered=lambda taken: None)
 
     def report_forever(self, box: Box) -> None:
@@ -678,6 +685,7 @@
             ready=ready,
             gone=gone,
             cold_s=0.0,
+            born=box.server.born,
         )
         self.feed(box, beat)
 
--- /dev/null
+++ b/tests/platform/test_odd_words.py
@@ -0,0 +1,162 @@
+"""Reports and records of other writers: they name no server, and the others hold."""
+
+from __future__ import annotations
+
+import base64
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from ferrydeck.mesh import events, store
+from ferrydeck.platform import kv, reports
+from tests.mesh import samples
+
+PATH = "/api/instances/i-7f3a91c2"
+INPUTS = 2500
+"""Inputs for each of the four decoders; they take 12 s together."""
+FIXED = hypothesis.settings(max_examples=INPUTS, derandomize=True, deadline=None)
+SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=8)
+)
+VALUES = strategies.recursive(
+    SCALARS,
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=4,
+)
+
+
+def report_of(**changes: object) -> dict[str, object]:
+    values = {
+        "service": "desk",
+        "address": "10.0.0.1:80",
+        "zone": "hall-0",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining": "0ms",
+        "sequence": 4,
+        "born": 1_772_790_870_304,
+    }
+    return values | changes
+
+
+def record_of(**changes: object) -> dict[str, object]:
+    values = {
+        "box": "box-9",
+        "incarnation": 7,
+        "address": "10.0.0.9:7000",
+        "zone": "hall-0",
+        "service": "desk",
+    }
+    return values | changes
+
+
+def item(value: bytes) -> dict[str, object]:
+    return {"tls_key": "ferrydeck/box/b", "value": base64.b64encode(value).decode()}
+
+
+def read_records(items: list[object]) -> store.Result:
+    body = json.dumps({"items": items, "more": False, "at": 9}).encode()
+    return kv.from_http(store.ReadBoxes(), 200, [body])
+
+
+GOOD = item(json.dumps(record_of()).encode())
+
+
+@pytest.mark.parametrize("name", sorted(report_of()))
+def test_a_report_that_lacks_a_field_or_has_another_type_is_not_read(name):
+    whole = report_of()
+    if name != "born":
+        less = {key: value for key, value in whole.items() if key != name}
+        assert reports.read(1, "PUT", PATH, json.dumps(less).encode()) is None
+    for odd in (None, [], {}, 1.5, True):
+        body = json.dumps(whole | {name: odd}).encode()
+        assert reports.read(1, "PUT", PATH, body) is None
+
+
+def test_a_report_in_an_unknown_state_is_not_read():
+    body = json.dumps(report_of(state="resting")).encode()
+    assert reports.read(1, "PUT", PATH, body) is None
+
+
+def test_a_report_of_another_service_names_no_server_here():
+    world = samples.world_of(1)
+    box = world.boxes["box-0"]
+    server = box.core.gate.server
+    before = (server.phase, server.instance)
+    values = {"slots": 8, "sequence": 1, "gone": False, "cold_s": 0.0}
+    for ready in (True, False):
+        odd = events.Beat(
+            conn=0,
+            instance="i-odd",
+            service="nowhere",
+            address=box.core.identity.server_address,
+            ready=ready,
+            **values,
+        )
+        world.feed(box, odd)
+    assert (server.phase, server.instance) == before
+
+
+@hypothesis.given(body=strategies.binary(max_size=200))
+@FIXED
+def test_bytes_that_are_no_report_raise_nothing(body):
+    reports.read(1, "PUT", PATH, body)
+    reports.read(1, "DELETE", PATH, body)
+
+
+@hypothesis.given(name=strategies.sampled_from(sorted(report_of())), value=VALUES)
+@FIXED
+def test_a_report_with_any_value_in_a_field_raises_nothing(name, value):
+    body = json.dumps(report_of(**{name: value})).encode()
+    beat = reports.read(1, "PUT", PATH, body)
+    assert beat is None or isinstance(beat.born, int)
+
+
+@hypothesis.given(raw=strategies.binary(max_size=100))
+@FIXED
+def test_bytes_that_are_no_record_lose_no_good_one(raw):
+    found = read_records([item(raw), GOOD])
+    assert [one.box for one in found.records][-1:] == ["box-9"]
+
+
+@hypothesis.given(
+    name=strategies.sampled_from(sorted(record_of())), value=VALUES, whole=VALUES
+)
+@FIXED
+def test_a_record_with_any_value_in_a_field_loses_no_good_one(name, value, whole):
+    odd = item(json.dumps(record_of(**{name: value})).encode())
+    found = read_records([odd, whole, GOOD])
+    assert [one.box for one in found.records][-1:] == ["box-9"]
+    assert len(found.records) + found.odd == 3
+
+
+@pytest.mark.parametrize(
+    "address", ["", "10.0.0.9", "10.0.0.9:0", "10.0.0.9:70000", "host:80", "::", ":80"]
+)
+def test_a_record_with_an_address_that_is_none_is_passed_over(address):
+    odd = item(json.dumps(record_of(address=address)).encode())
+    found = read_records([odd, GOOD])
+    assert (len(found.records), found.odd) == (1, 1)
+
+
+def test_odd_records_get_one_line_and_the_others_hold():
+    world = samples.world_of(3)
+    box = world.boxes["box-0"]
+    known = len(box.core.peers.by_address)
+    records = tuple(world.records.values())
+    for _ in range(5):
+        found = store.BoxesFound(records=records, odd=2)
+        world.feed(box, events.StoreAnswered(request=store.ReadBoxes(), result=found))
+    lines = [note for _, _, note in world.notes if note.kind == "records"]
+    assert len(lines) == 1
+    assert len(box.core.peers.by_address) == known
