Ask a server at once whether it has ended, as the first request is lost

Change: the health check goes out with the first loss, a refused connection settles it, and all that ran as the first was lost is blamed at once. Ruled out: sending equal requests to one server before any end is known (two servers to a request): it would send most work to other data centres, where bytes are priced.

--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -263,13 +263,15 @@
         """Tell that no whole answer will come."""
         job = self.running.get(event.dispatch)
         if event.refused:
-            self.suspects.losses.refused = True
             self.server.down(now, event.detail)
+            self.suspects.losses.checked(refused=True)
+            self.judge_losses(now)
         if job is None:
             return
         if event.sent:
             # It keeps its slot for the moment in which it is judged what was lost.
             if self.suspects.losses.add(now, job, self.running):
+                self.server.check(now)
                 self.rt.at(now + losses.SETTLE_S, losses.LossTimer())
             return
         self._end(now, job)
@@ -291,10 +293,9 @@
                 self.rt.at(pending.settles_at(), losses.LossTimer())
                 return
             case losses.Verdict.ALL:
-                self.server.check(now)
                 self.rt.at(pending.confirmed_by(), losses.LossTimer())
                 return
-        lost = pending.take()
+        lost = pending.take(self.running)
         if verdict is losses.Verdict.ENDED:
             self.suspects.server_ended(now, lost)
         for job in lost:
--- a/ferrydeck/mesh/suspects/losses.py
+++ b/ferrydeck/mesh/suspects/losses.py
@@ -1,8 +1,8 @@
 """Tells the end of a server from single answers that were lost.
 
 A server that ends takes all its connections with it within a moment; an answer that is
-lost, or a connection that is reset, mostly leaves others that go on. Where nothing else
-ran, only the server itself can tell: one that has ended takes no connection.
+lost, or a connection that is reset, mostly leaves others that go on. One health check
+as the first is lost tells at once: a server that has ended takes no connection.
 """
 
 from __future__ import annotations
@@ -83,10 +83,10 @@
 
     def verdict(self, now: float, running: Container[int]) -> Verdict:
         """Return what is known by now."""
-        if now < self.settles_at():
-            return Verdict.OPEN
         if self.refused:
             return Verdict.ENDED
+        if now < self.settles_at():
+            return Verdict.OPEN
         if self.answered or now >= self.confirmed_by():
             return Verdict.SINGLE
         lost = {job.dispatch for job in self.jobs}
@@ -94,7 +94,15 @@
             return Verdict.SINGLE
         return Verdict.ALL
 
-    def take(self) -> list[jobs.Job]:
-        """Return what was lost, and begin anew."""
+    def take(self, running: dict[int, jobs.Job]) -> list[jobs.Job]:
+        """Return what was lost, and begin anew.
+
+        Where the server has ended, what ran as the first was lost is lost as well: the
+        ends of its connections are only not read yet.
+        """
         lost, self.jobs = self.jobs, []
-        return lost
+        if not self.refused:
+            return lost
+        told = {job.dispatch for job in lost}
+        doomed = [one for one in self._ran - told if one in running]
+        return lost + [running[one] for one in sorted(doomed)]
--- a/tests/mesh/suspects/lethal.py
+++ b/tests/mesh/suspects/lethal.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import random
+from collections.abc import Iterator
+
+import attrs
+
 from ferrydeck.replay import mesh_world
 from tests.mesh import samples
 
@@ -17,3 +22,58 @@
 def crashes(world: mesh_world.World) -> int:
     """Return how many servers have ended."""
     return sum(box.server.crashes for box in world.boxes.values())
+
+
+@attrs.define(kw_only=True)
+class Play:
+    """Callers of a fleet: proper ones all the while, and lethal ones as told."""
+
+    world: mesh_world.World
+    rng: random.Random
+    proper: list[mesh_world.Asked] = attrs.Factory(list)
+    lethal: list[mesh_world.Asked] = attrs.Factory(list)
+
+    def load(self, seconds: float, every_s: float = 0.004) -> None:
+        """Have proper requests come, each with a path of its own, as time passes."""
+        for _ in range(round(seconds / every_s)):
+            path = f"/look/{self.world.number()}"
+            self.proper.append(samples.ask(self.world, self._box(), path=path))
+            self.world.run(every_s)
+
+    def strike(self, path: str = PATH, box: str = "", **more: object) -> None:
+        """Have a lethal request come at a box, or at any one."""
+        asked = samples.ask(self.world, box or self._box(), path=path, **more)
+        self.lethal.append(asked)
+
+    def settle(self) -> None:
+        """Let all requests end."""
+        self.load(1.0)
+        self.world.run(4.0)
+
+    def refused(self) -> list[str]:
+        """Return why proper requests were refused for what is remembered."""
+        reasons = [one.told.reason for one in self.proper if one.told is not None]
+        return [one for one in reasons if one in ("condemned", "suspect")]
+
+    def served(self) -> float:
+        """Return the share of proper requests that were served."""
+        told = samples.told_all(self.proper)
+        return told.count(200) / max(1, len(told))
+
+    def _box(self) -> str:
+        return self.rng.choice([one.name for one in self._up()])
+
+    def _up(self) -> Iterator[mesh_world.Box]:
+        return (one for one in self.world.boxes.values() if one.up)
+
+
+def play(boxes: int, seed: int, **server: object) -> Play:
+    """Return a fleet under load for half a second."""
+    made = Play(world=fleet(boxes, seed, **server), rng=random.Random(seed))
+    made.load(0.5)
+    return made
+
+
+def ended_by(played: Play, path: str = PATH) -> int:
+    """Return how many runs of a path ended the server that ran it."""
+    return sum(one.ran and one.path.startswith(path) for one in played.world.runs)
