--- a/ferrydeck/mesh/suspects/quarantine.py
+++ b/ferrydeck/mesh/suspects/quarantine.py
@@ -94,7 +94,7 @@
             ran=[one.hex()[:LINE_HEX] for one in all_ran],
             proven=len(ran) - len(blamed),
         )
-        if not blamed:
+        if not blamed or not self.rt.tuning.remember_suspects:
             return
         tested = self.trials.tested()
         self.tell(self.records.blame(now, end, blamed, tested))
--- a/ferrydeck/mesh/tuning.py
+++ b/ferrydeck/mesh/tuning.py
@@ -39,5 +39,7 @@
     """Close the gate of a server that has fallen silent (`gate`)."""
     move_from_silent: bool = True
     """Send requests elsewhere that are at a silent box (`origin`)."""
+    remember_suspects: bool = True
+    """Hold requests back that ran on servers as these ended (`suspects`)."""
     compress_far: bool = True
     """Compress links between data centres."""
