A health check lost on a rested connection tells nothing; lethal requests in the soak

Change: a check without answer says nothing and is made again, a refused connection settles it. The soak has requests that end their servers (three paths, copies at several boxes at once), servers that are back within a second, half of them under their id, and holds six ends a path at the most. Stand-ins tell their birth and drop a lethal request whose connection closed. A drain of a server that has just ended raised in the soak itself and hung it: mended. Clocks: the soak reads the product's one.

--- a/ferrydeck/mesh/events.py
+++ b/ferrydeck/mesh/events.py
@@ -145,6 +145,9 @@
     slots: int
     refused: bool = False
     """Whether the server took no connection at all."""
+    answered: bool = True
+    """Whether there was an answer; a connection that was lost on the way, as one that
+    had rested may be, says nothing of the server."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -308,7 +308,13 @@
     def probed(self, now: float, event: events.ProbeAnswered) -> None:
         """Take the server's answer to a health check, or that there is none."""
         self.server.probed(now, event)
-        self.suspects.losses.checked(refused=event.refused)
+        pending = self.suspects.losses
+        if not pending.jobs:
+            return
+        if event.refused or event.answered:
+            pending.checked(refused=event.refused)
+        else:
+            self.server.check(now)
         self.judge_losses(now)
 
     def suspects_changed(self, now: float, changed: list[records.Record]) -> None:
--- a/ferrydeck/net/mesh_driver.py
+++ b/ferrydeck/net/mesh_driver.py
@@ -396,7 +396,9 @@
         if not isinstance(event, server_client.Head):
             refused = isinstance(event, server_client.Failed) and event.refused
             self.feed(
-                events.ProbeAnswered(well=False, instance="", slots=0, refused=refused)
+                events.ProbeAnswered(
+                    well=False, instance="", slots=0, refused=refused, answered=False
+                )
             )
             return
         facts = headers.read_answer(event.status, event.fields)
--- a/ferrydeck/replay/mesh_world.py
+++ b/ferrydeck/replay/mesh_world.py
@@ -415,7 +415,7 @@
             case effects.CancelDispatch(dispatch=dispatch):
                 box.server.at_work.pop(dispatch, None)
             case effects.Probe():
-                self._probe(box)
+                self.probe(box)
             case effects.Reply():
                 self._told(box, effect.conn, effect.status, body=effect.body)
             case effects.Decline():
@@ -656,7 +656,8 @@
         )
         self.feed_later(box, answered, 0.0001)
 
-    def _probe(self, box: Box) -> None:
+    def probe(self, box: Box) -> None:
+        """Have the server of a box answer a health check."""
         server = box.server
         right = server.up and not server.leaving
         probed = events.ProbeAnswered(
@@ -664,6 +665,7 @@
             instance=server.instance if server.up else "",
             slots=server.slots,
             refused=not server.up,
+            answered=server.up,
         )
         self.feed_later(box, probed, 0.001)
 
--- a/ferrydeck/standins/app_server.py
+++ b/ferrydeck/standins/app_server.py
@@ -5,6 +5,7 @@
 import enum
 import http.client
 import json
+import os
 
 import attrs
 import msgspec
@@ -14,6 +15,9 @@
 from ferrydeck.wire import messages
 
 REPORT_TIMEOUT_S = 1.0
+LETHAL = "/lethal"
+"""What a path holds whose run ends the server in place of an answer."""
+LETHAL_EXIT = 70
 
 
 class Mood(enum.StrEnum):
@@ -61,6 +65,7 @@
         super().__init__(ip=ip, ports=[port])
         self.address = f"{ip}:{port}"
         self.instance = instance
+        self.born = clock.wall_ns() // 1_000_000
         self.service = service
         self.zone = zone
         self.reports = reports
@@ -72,6 +77,8 @@
         self.sequence = 0
         self.at_work = 0
         self.ran: list[Ran] = []
+        self.left: set[int] = set()
+        """Calls whose callers have gone."""
         self.after(0.0, self._report)
 
     def asked(self, req: loop.Asked) -> None:
@@ -121,12 +128,15 @@
 
     def _write_down(self, ran: Ran) -> None:
         """Write a run to standard output, where it outlives this process."""
-        line = {"ran": ran.request_id, "instance": self.instance}
+        line = {"ran": ran.request_id, "instance": self.instance, "path": ran.path}
         line["at"] = clock.now()
         print(json.dumps(line), flush=True)
 
     def _finish(self, req: loop.Asked, fields: dict[str, str]) -> None:
         self.at_work -= 1
+        if LETHAL in req.path:
+            self._end_by(req)
+            return
         body = f"{self.service} {req.method} {req.path} ".encode() + req.body
         body = body.ljust(int(req.query.get("size", "0")), b".")
         match self.mood:
@@ -139,6 +149,18 @@
             case _:
                 self._answer(req, 200, fields, body, sealed=True)
 
+    def gone(self, call: int) -> None:
+        """Drop a lethal request whose connection has closed, as most servers do."""
+        self.left.add(call)
+
+    def _end_by(self, req: loop.Asked) -> None:
+        """End as a request has it, unless its connection has closed."""
+        if req.call in self.left:
+            return
+        line = {"ended": req.path, "instance": self.instance, "at": clock.now()}
+        print(json.dumps(line), flush=True)
+        os._exit(LETHAL_EXIT)
+
     def _answer(
         self,
         req: loop.Asked,
@@ -182,6 +204,7 @@
                 "state": state,
                 "cold_remaining": "0ms",
                 "sequence": self.sequence,
+                "born": self.born,
             }
         )
 
--- a/ferrydeck/standins/main.py
+++ b/ferrydeck/standins/main.py
@@ -33,6 +33,7 @@
     for_server.add_argument("--reports", required=True, help="a daemon, IP:PORT")
     for_server.add_argument("--slots", type=int, default=8)
     for_server.add_argument("--work-ms", type=float, default=2.0)
+    for_server.add_argument("--instance", default="", help="its id; none: a new one")
     for one in (for_platform, for_target, for_store, for_server):
         one.add_argument("--ip", default="127.0.0.1")
     return made
@@ -48,7 +49,7 @@
         app_server.AppServer(
             ip=args.ip,
             port=args.port,
-            instance=app_server.new_instance(),
+            instance=args.instance or app_server.new_instance(),
             service=args.service,
             zone=args.zone,
             reports=args.reports,
--- a/tests/mesh/samples.py
+++ b/tests/mesh/samples.py
@@ -7,6 +7,7 @@
 from ferrydeck.replay import mesh_world
 
 HOST = "calls.example"
+ALL_ON = switches.Tuning()
 
 
 def route(name: str = "look", **changes: object) -> policy.Route:
@@ -44,7 +45,7 @@
     *,
     seed: int = 1,
     zones: int = 1,
-    tuning: switches.Tuning = switches.Tuning(),
+    tuning: switches.Tuning = ALL_ON,
     **server: object,
 ) -> mesh_world.World:
     """Return a world of boxes with a server of `desk` each, two seconds old."""
--- a/tests/mesh/suspects/test_sight.py
+++ b/tests/mesh/suspects/test_sight.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import attrs
+
+from ferrydeck.mesh import effects, events
 from tests.mesh import samples
 from tests.mesh.suspects import lethal
 
@@ -33,6 +36,31 @@
     assert set.intersection(*(set(line.inputs["ran"]) for line in lines))
 
 
+def test_a_health_check_on_a_connection_that_was_lost_too_is_made_again():
+    world = lethal.fleet(1, seed=2)
+    samples.ask(world, "box-0", path="/look/alone")
+    box = world.boxes["box-0"]
+    [dispatch] = box.server.at_work
+    box.server.up = False
+    now = world.clock(box)
+
+    def asked_again(event: events.Event) -> bool:
+        made = box.core.handle(now, event)
+        return any(isinstance(one, effects.Probe) for one in made)
+
+    lost = events.ServerFailed(
+        dispatch=dispatch, sent=True, refused=False, detail="connection ended"
+    )
+    silent = events.ProbeAnswered(well=False, instance="", slots=0, answered=False)
+    assert asked_again(lost)
+    assert asked_again(silent)
+    assert asked_again(silent)
+    assert box.core.gate.suspects.losses.jobs
+    assert not asked_again(attrs.evolve(silent, refused=True))
+    [record] = box.core.gate.suspects.records.by_digest.values()
+    assert record.level == 1
+
+
 def test_lost_answers_beside_others_that_go_on_are_no_end_of_a_server():
     world = samples.world_of(1, slots=30)
     samples.load(world, "box-0", 10, every_s=0.001)
--- a/tests/platform/mesh_fleet.py
+++ b/tests/platform/mesh_fleet.py
@@ -166,7 +166,7 @@
         self.boxes.append(box)
         return box
 
-    def start_server(self, box: MeshBox) -> fleet.Process:
+    def start_server(self, box: MeshBox, instance: str = "") -> fleet.Process:
         return self.spawn(
             f"server-{box.name}",
             "ferrydeck.standins.main",
@@ -183,6 +183,8 @@
             str(box.work_ms),
             "--slots",
             str(box.slots),
+            "--instance",
+            instance,
         )
 
     def start_daemon(self, number: int, settings: pathlib.Path) -> fleet.Process:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -16,6 +16,9 @@
 """How much longer than its deadline a request may be held, seconds."""
 RECOVERED_SHARE = 0.95
 IN_FORCE_S = 2.0
+LETHAL_MOST = 6
+"""Servers that end by a lethal request at most: three for each of two parts of a fleet
+that links held one way or both can make."""
 
 
 @attrs.define(kw_only=True)
@@ -42,6 +45,8 @@
     logs: dict[str, list[dict[str, object]]]
     """The lines of each daemon process."""
     version: int
+    ended_by: list[str]
+    """The path of the request under which each server ended."""
     exit_codes: list[tuple[str, int]]
 
 
@@ -63,6 +68,13 @@
     return found
 
 
+def ended_by(fleet: mesh_fleet.MeshFleet) -> list[str]:
+    """Return the paths under which servers ended."""
+    servers = [one for one in fleet.processes if one.name.startswith("server-")]
+    lines = [line for one in servers for line in whole_lines(one.log)]
+    return [line["ended"] for line in lines if "ended" in line]
+
+
 def whole_lines(path) -> list[dict[str, object]]:
     """Return the JSON lines of a log; what was cut off by a kill is left out."""
     text = path.read_text(errors="replace")
@@ -79,6 +91,7 @@
     found += _held(history)
     found += _after_leaving(history)
     found += _versions(history)
+    found += _lethal(history)
     found += _recovery(history)
     found += [f"EXIT {name}: {code}" for name, code in history.exit_codes if code]
     return found
@@ -133,6 +146,12 @@
     return found
 
 
+def _lethal(history: History) -> list[str]:
+    """Return requests under which more servers ended than parts of the fleet allow."""
+    ended = collections.Counter(history.ended_by)
+    return [f"LETHAL {path}: {n}" for path, n in ended.items() if n > LETHAL_MOST]
+
+
 def _recovery(history: History) -> list[str]:
     last = [one for one in history.sent if one.at > history.calm_from]
     served = sum(one.status == 200 for one in last)
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import attrs
 
+from ferrydeck import clock
+
 HOST = "calls.example"
 DEADLINE_S = 1.5
 PATIENCE_S = 4.0
@@ -80,7 +81,7 @@
             box=self.box,
             once=once,
             path=path,
-            at=time.monotonic(),
+            at=clock.now(),
         )
         self.sent.append(one)
         try:
@@ -91,7 +92,7 @@
         except (OSError, asyncio.IncompleteReadError):
             one.status = CUT
             self._drop()
-        one.ended = time.monotonic()
+        one.ended = clock.now()
 
     def _bytes(self, one: Sent) -> bytes:
         method, body = ("POST", b"12.50") if one.once else ("GET", b"")
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -8,10 +8,11 @@
 import json
 import random
 import signal
-import time
 
 import attrs
 
+from ferrydeck import clock
+from ferrydeck.standins import app_server
 from ferrydeck.standins import fleet as processes
 from tests.platform import mesh_fleet
 from tests.soak import proxy
@@ -22,6 +23,9 @@
 STOP_S = 6.0
 """The grace of a planned stop, seconds."""
 FAULTS = ("busy", "silent", "lost")
+LETHAL_PATHS = tuple(f"/look{app_server.LETHAL}/{name}" for name in "abc")
+COPIES_MOST = 4
+REVIVE_EVERY_S = 0.05
 MOODS = ("shed", "fail", "cut", "unsealed")
 
 
@@ -49,20 +53,28 @@
     exit_codes: list[tuple[str, int]] = attrs.Factory(list)
     told: list[str] = attrs.Factory(list)
     version: int = 4
+    lethal: bool = False
+    """Whether requests come that end the servers that run them."""
+    _copies: int = 0
     _tasks: set[asyncio.Task] = attrs.Factory(set)
 
     async def play(self, seconds: float) -> None:
         """Strike for some time, then wait until all is over."""
-        ends = time.monotonic() + seconds
-        while time.monotonic() < ends:
+        reviver = asyncio.ensure_future(self._revive()) if self.lethal else None
+        ends = clock.now() + seconds
+        while clock.now() < ends:
             await asyncio.sleep(self.rng.uniform(0.1, 1.0))
             self._strike()
         await asyncio.gather(*self._tasks)
+        if reviver is not None:
+            reviver.cancel()
 
     def _strike(self) -> None:
         place = self.rng.choice(self.places)
+        more = [self._send_lethal] * 4 if self.lethal else []
         kind = self.rng.choice(
             [
+                *more,
                 self._kill,
                 self._stop,
                 self._freeze,
@@ -80,19 +92,19 @@
             ]
         )
         task = asyncio.get_running_loop().create_task(kind(place))
-        self.told.append(f"{time.monotonic():.2f} {kind.__name__} {place.box.name}")
+        self.told.append(f"{clock.now():.2f} {kind.__name__} {place.box.name}")
         self._tasks.add(task)
 
     @contextlib.asynccontextmanager
     async def _struck(self, place: Place):
         """Note that a daemon is struck; nothing else strikes it meanwhile."""
-        since = time.monotonic()
+        since = clock.now()
         place.busy = True
         try:
             yield
         finally:
             place.busy = False
-            until = time.monotonic() + AFTERMATH_S
+            until = clock.now() + AFTERMATH_S
             self.troubled.append((place.box.name, since, until))
 
     async def _kill(self, place: Place) -> None:
@@ -168,11 +180,12 @@
         if place.server_busy:
             return
         place.server_busy = True
-        instance = await asyncio.to_thread(self._instance, place)
+        # A request may have ended the server just now.
         with contextlib.suppress(OSError, http.client.HTTPException):
+            instance = await asyncio.to_thread(self._instance, place)
             told = await asyncio.to_thread(place.box.control, "drain")
             if told["acked"]:
-                self.acked_leaving[instance] = time.monotonic()
+                self.acked_leaving[instance] = clock.now()
         await asyncio.sleep(self.rng.uniform(2.0, 4.0))
         place.box.server.signal(signal.SIGKILL)
         self._start_server(place)
@@ -189,6 +202,37 @@
             await asyncio.to_thread(place.box.control, "mood", b"well")
         place.server_busy = False
 
+    async def _send_lethal(self, place: Place) -> None:
+        """Have copies of a lethal request come at some boxes, one of them again."""
+        path = self.rng.choice(LETHAL_PATHS)
+        boxes = self.rng.choices(self.places, k=self.rng.randint(1, COPIES_MOST))
+        await asyncio.gather(*(self._send_copy(one, path) for one in boxes))
+        await self._send_copy(place, path)
+
+    async def _send_copy(self, place: Place, path: str) -> None:
+        self._copies += 1
+        request_id = f"copy-{self._copies}"
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            await asyncio.to_thread(place.box.call, path, request_id)
+
+    async def _revive(self) -> None:
+        """Start servers again that have ended, some under the id that they had."""
+        while True:
+            await asyncio.sleep(REVIVE_EVERY_S)
+            for place in self.places:
+                ended = place.box.server.popen.poll() == app_server.LETHAL_EXIT
+                if ended and not place.server_busy:
+                    place.server_busy = True
+                    self._tasks.add(asyncio.ensure_future(self._start_ended(place)))
+
+    async def _start_ended(self, place: Place) -> None:
+        lines = place.box.server.log.read_text().splitlines()
+        last = json.loads(lines[-1])["instance"]
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        keeps_id = self.rng.random() < 0.5
+        place.box.server = self.fleet.start_server(place.box, last * keeps_id)
+        place.server_busy = False
+
     async def _control(self, what: str, body: bytes) -> None:
         await asyncio.to_thread(self.fleet.control, what, body)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,13 +4,14 @@
 
 import argparse
 import asyncio
+import collections
 import pathlib
 import random
 import tempfile
-import time
 
 import attrs
 
+from ferrydeck import clock
 from ferrydeck.standins import fleet as processes
 from tests.platform import mesh_fleet
 from tests.soak import checks, clients, proxy, schedule
@@ -30,6 +31,8 @@
     broken: list[str]
     sent: int
     served: int
+    ended: dict[str, int]
+    """Servers that ended by a request, by its path."""
     schedule: list[str]
 
 
@@ -52,7 +55,7 @@
 
 
 async def play_in(
-    folder: pathlib.Path, seed: int, boxes: int, seconds: float
+    folder: pathlib.Path, seed: int, boxes: int, seconds: float, lethal: bool
 ) -> Played:
     """Play one seed with its files in a folder."""
     fleet = mesh_fleet.MeshFleet(folder)
@@ -68,10 +71,12 @@
             for number in range(CALLERS)
         ]
         running = [asyncio.ensure_future(one.run()) for one in callers]
-        plan = schedule.Schedule(rng=random.Random(seed), fleet=fleet, places=places)
+        plan = schedule.Schedule(
+            rng=random.Random(seed), fleet=fleet, places=places, lethal=lethal
+        )
         await plan.play(seconds)
         await asyncio.sleep(CALM_S)
-        calm_from = time.monotonic()
+        calm_from = clock.now()
         await asyncio.sleep(LAST_S)
         for one in callers:
             one.stopping = True
@@ -93,6 +98,7 @@
             if one.name.startswith("daemon-")
         },
         version=plan.version,
+        ended_by=checks.ended_by(fleet),
         exit_codes=plan.exit_codes,
     )
     return Played(
@@ -100,13 +106,21 @@
         broken=checks.broken(history) + fleet.faults_logged(),
         sent=len(history.sent),
         served=sum(one.status == 200 for one in history.sent),
+        ended=collections.Counter(history.ended_by),
         schedule=plan.told,
     )
 
 
-def play(folder: pathlib.Path, seed: int, *, boxes: int, seconds: float) -> Played:
-    """Play one seed."""
-    return asyncio.run(play_in(folder, seed, boxes, seconds))
+def play(
+    folder: pathlib.Path,
+    seed: int,
+    *,
+    boxes: int,
+    seconds: float,
+    lethal: bool = False,
+) -> Played:
+    """Play one seed, with requests that end servers or without."""
+    return asyncio.run(play_in(folder, seed, boxes, seconds, lethal))
 
 
 def main() -> int:
@@ -115,6 +129,7 @@
     parser.add_argument("--seeds", default="1-50", help="FIRST-LAST")
     parser.add_argument("--boxes", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--lethal", action="store_true", help="requests end servers")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
@@ -123,9 +138,15 @@
         keep = args.keep or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         folder = keep / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        played = play(folder, seed, boxes=args.boxes, seconds=args.seconds)
+        played = play(
+            folder, seed, boxes=args.boxes, seconds=args.seconds, lethal=args.lethal
+        )
         failed += bool(played.broken)
-        print(f"seed {seed}: {played.served} of {played.sent} served", flush=True)
+        print(
+            f"seed {seed}: {played.served} of {played.sent} served, ended "
+            f"{sorted(played.ended.values())}",
+            flush=True,
+        )
         for line in played.broken[:10] + played.schedule * bool(played.broken):
             print(f"  {line}", flush=True)
     return 1 if failed else 0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,10 @@
     check(soak.play(tmp_path, 1, boxes=3, seconds=6.0))
 
 
+def test_promises_hold_while_requests_end_servers(tmp_path):
+    check(soak.play(tmp_path, 2, boxes=4, seconds=8.0, lethal=True))
+
+
 @pytest.mark.parametrize("seed", FAILED_ONCE)
 def test_a_seed_that_failed_once_holds(tmp_path, seed):
     check(soak.play(tmp_path, seed, boxes=5, seconds=15.0))
