A request that was refused a connection gets one word, that it has not run

Cause: where the refused connection of one request settled that the server had ended, this request was told to be lost with it and then to be refused, and counted twice (found by reading; test red before: Broken and Refused). Change: it is refused first, then judged.

--- a/ferrydeck/mesh/gate.py
+++ b/ferrydeck/mesh/gate.py
@@ -264,18 +264,17 @@
         job = self.running.get(event.dispatch)
         if event.refused:
             self.server.down(now, event.detail)
-            self.suspects.losses.checked(refused=True)
-            self.judge_losses(now)
-        if job is None:
-            return
-        if event.sent:
+        if job is not None and event.sent:
             # It keeps its slot for the moment in which it is judged what was lost.
             if self.suspects.losses.add(now, job, self.running):
                 self.server.check(now)
                 self.rt.at(now + losses.SETTLE_S, losses.LossTimer())
-            return
-        self._end(now, job)
-        self._refuse(now, job, messages.Reason.NOT_SENT)
+        elif job is not None:
+            self._end(now, job)
+            self._refuse(now, job, messages.Reason.NOT_SENT)
+        if event.refused:
+            self.suspects.losses.checked(refused=True)
+            self.judge_losses(now)
         self._next(now)
 
     def judge_losses(self, now: float) -> None:
--- a/tests/mesh/suspects/test_sight.py
+++ b/tests/mesh/suspects/test_sight.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ferrydeck.mesh import effects, events
+from ferrydeck.mesh import effects, events, messages
 from tests.mesh import samples
 from tests.mesh.suspects import lethal
 
@@ -70,3 +70,23 @@
     world.run(1.0)
     assert [n for _, _, n in world.notes if (n.kind, n.outcome) == ("gate", "broken")]
     assert ended_lines(world) == []
+
+
+def test_a_request_that_was_refused_a_connection_as_the_server_ended_has_not_run():
+    world = lethal.fleet(1, seed=2)
+    for number in range(2):
+        samples.ask(world, "box-0", path=f"/look/{number}")
+    box = world.boxes["box-0"]
+    first, second = box.server.at_work
+    gate = box.core.gate
+    words = []
+    gate.reply = lambda now, job, message: words.append((job.dispatch, type(message)))
+    now = world.clock(box)
+    common = {"detail": "connection ended"}
+    lost = events.ServerFailed(dispatch=first, sent=True, refused=False, **common)
+    box.core.handle(now, lost)
+    refused = events.ServerFailed(dispatch=second, sent=False, refused=True, **common)
+    box.core.handle(now, refused)
+    assert sorted(words, key=str) == sorted(
+        [(first, messages.Broken), (second, messages.Refused)], key=str
+    )
