--- a/ferrydeck/mesh/suspects/proven.py
+++ b/ferrydeck/mesh/suspects/proven.py
@@ -9,10 +9,11 @@
 
 REMEMBERED = 1024
 """Requests after which older ones begin to be forgotten. One that comes so rarely that
-1,024 others lie between is no popular one. The two sets take 0.2 MB."""
+1,024 others lie between is no popular one. The two sets take 0.14 MB when full."""
 BODY_MOST = 4096
-"""Bodies longer than this are not remembered, bytes: hashing one takes 1 microsecond a
-kilobyte, on the way of every request."""
+"""Requests with longer bodies are not remembered, bytes: a body is hashed on the way of
+every request that ended well. Noting one of 300 bytes took 1.1 microseconds, of this
+length 2.0."""
 
 
 @attrs.define(kw_only=True)
--- a/ferrydeck/mesh/suspects/records.py
+++ b/ferrydeck/mesh/suspects/records.py
@@ -25,8 +25,8 @@
 """How long a request is remembered after the last end under it, seconds: callers come
 again for minutes at the most, and an operator has read the lines by then."""
 RECORDS_MOST = 1024
-"""Requests that are remembered at most: six servers with 168 slots. Measured at 560
-bytes each, they take 0.6 MB."""
+"""Requests that are remembered at most: what runs on six servers with 168 slots. They
+take 0.5 MB, 465 bytes each by the allocator's own count."""
 
 
 @attrs.define(kw_only=True, eq=False)
