A gate that a health check opened closes by its server's first word of leaving

Change: the id without birth is the same lifetime; a late report does not open for an id that left before its birth was known, for ten seconds. Tests red before: three in tests/mesh/test_lifetimes.py. Ruled out: load.

--- a/ferrydeck/mesh/servers.py
+++ b/ferrydeck/mesh/servers.py
@@ -16,6 +16,8 @@
 REPORTS_LEAST = 2
 """Reports that open a gate against the health check, which may be wrong either way:
 a single one may have been on its way since before the server said that it leaves."""
+LATE_S = 10.0
+"""How late a report may come, seconds: the users' pages say seconds."""
 LIFETIMES_MOST = 64
 """Lifetimes whose reports are told from late ones at most. A report may be seconds late
 and a server takes a second to start, so few of them can matter at once."""
@@ -50,6 +52,8 @@
     """Lifetimes of the server that have said that they leave."""
     _sequences: dict[str, int] = attrs.Factory(dict)
     """The highest sequence number of each lifetime's reports."""
+    _left_unborn: dict[str, float] = attrs.Factory(dict)
+    """When lifetimes left whose birth was not known, by id."""
     _newest: dict[str, int] = attrs.Factory(dict)
     """When the newest lifetime under each id was born, milliseconds since 1970."""
     _reports: int = 0
@@ -112,7 +116,7 @@
         if beat.gone or not beat.ready:
             self._leave(now, lifetime, "gone" if beat.gone else "draining")
             return True
-        if lifetime in self.left:
+        if lifetime in self.left or self._may_be_late(now, beat.instance):
             return True
         other = self.instance and beat.instance != lifetimes.id_of(self.instance)
         if other and self.phase is messages.Phase.READY and last >= 0:
@@ -203,12 +207,30 @@
         if instance in self.left:
             return
         self.left.add(instance)
+        if not lifetimes.born(instance):
+            self._left_unborn[instance] = now
         self.rt.note("server-leaving", instance=instance, reason=why)
-        if self.instance in ("", instance):
+        if not self.instance or self._is_current(instance):
             self.instance = instance
             self.phase = messages.Phase.LEAVING
             self.closed(now, messages.Reason.CLOSED)
 
+    def _may_be_late(self, now: float, server_id: str) -> bool:
+        """Tell whether a report may be of a lifetime that left with no birth known.
+
+        After some seconds it is of a new one under the same id.
+        """
+        return now - self._left_unborn.get(server_id, float("-inf")) < LATE_S
+
+    def _is_current(self, lifetime: str) -> bool:
+        """Tell whether a lifetime is the one that the gate is open for.
+
+        A gate that a health check has opened knows the id alone, until a report tells
+        when the server was born.
+        """
+        server_id = lifetimes.id_of(lifetime)
+        return self.instance in (lifetime, server_id)
+
     def _service(self) -> policy.Service | None:
         if self.rt.policy is None:
             return None
--- a/tests/mesh/test_lifetimes.py
+++ b/tests/mesh/test_lifetimes.py
@@ -113,3 +113,27 @@
         watch.beat(3.0, beat(1, instance=f"i-{number}"))
     assert len(watch._sequences) <= 64
     assert len(watch._newest) <= 64
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_server_that_a_health_check_opened_leaves_by_its_first_report(watch, gone):
+    watch.replaced(2.0, "i-a")
+    watch.probed(2.1, events.ProbeAnswered(well=True, instance="i-a", slots=8))
+    assert watch.phase is messages.Phase.READY
+    watch.beat(2.2, beat(1, ready=False, gone=gone))
+    assert watch.phase is messages.Phase.LEAVING
+    watch.probed(2.3, events.ProbeAnswered(well=True, instance="i-a", slots=8))
+    watch.beat(2.4, beat(2))
+    assert watch.phase is messages.Phase.LEAVING
+
+
+def test_a_report_that_is_late_does_not_open_for_an_id_that_left_without_its_birth(
+    watch,
+):
+    watch.replaced(2.0, "i-a")
+    watch.probed(2.1, events.ProbeAnswered(well=True, instance="i-a", slots=8))
+    watch.beat(2.2, beat(0, born=0, ready=False, gone=True))
+    watch.beat(2.5, beat(7))
+    assert watch.phase is messages.Phase.LEAVING
+    watch.beat(20.0, beat(8, born=BORN + 9000))
+    assert watch.phase is messages.Phase.READY
