--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -191,8 +191,8 @@
                 self.inbound.crashes.probed(now, event)
             case events.Heartbeat():
                 self.heartbeats.heartbeat(now, event)
-            case events.StoreAnswered(request=request, result=result):
-                self.registry.answered(now, request, result)
+            case events.StoreAnswered(request=request, result=result, era=era):
+                self.registry.answered(now, request, result, era)
             case events.PolicyRead(policy=new, source=source):
                 self.policies.put_in_force(now, new, source)
             case events.StopRequested():
--- a/ferrydeck/mesh/events.py
+++ b/ferrydeck/mesh/events.py
@@ -187,6 +187,8 @@
 
     request: store.Request
     result: store.Result
+    era: int = 0
+    """The store's era by the answer; 0 where none is stated."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -171,6 +171,10 @@
         self._update_price(now)
         suspect = self.suspects.record_of(now, forward)
         match self._admission(now, req, suspect):
+            case admission.Rejected(reason=messages.Reason.RETRY_BUDGET as reason):
+                figures = self.retry_budget.figures()
+                self.results.send_rejection(now, req, reason, inputs=figures)
+                return
             case admission.Rejected(reason=reason):
                 self.results.send_rejection(now, req, reason)
                 return
@@ -340,12 +344,14 @@
         expected_id = incarnations.id_of(self.target.incarnation)
         if facts.target_id and facts.target_id != expected_id:
             self.target.replaced(now, facts.target_id)
+        granted = self._grants_shed(now, req)
         self.results.send_rejection(
             now,
             req,
             messages.Reason.TARGET_REJECTED,
             target_asked=True,
-            retry_granted=self._grants_shed(now, req),
+            retry_granted=granted,
+            inputs={} if granted else self.retry_budget.figures(),
         )
         self.queue.start_next(now)
 
--- a/ferrydeck/mesh/inbound/results.py
+++ b/ferrydeck/mesh/inbound/results.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import types
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -23,6 +24,8 @@
 )
 from ferrydeck.mesh.poison import fingerprints
 
+NO_INPUTS: Mapping[str, object] = types.MappingProxyType({})
+
 
 @attrs.define(kw_only=True)
 class Results:
@@ -81,9 +84,14 @@
         *,
         target_asked: bool = False,
         retry_granted: bool = False,
+        inputs: Mapping[str, object] = NO_INPUTS,
     ) -> None:
-        """Report that a request has not run and will not run here."""
-        self.note(req, "refused", reason, **self._price(now, req, reason))
+        """Report that a request has not run and will not run here.
+
+        `inputs` is what the decision hung on, for its line.
+        """
+        price = self._price(now, req, reason)
+        self.note(req, "refused", reason, **price, **inputs)
         rejected = messages.Rejected(
             number=req.forward.number,
             reason=reason,
--- a/ferrydeck/mesh/inbound/retry_budget.py
+++ b/ferrydeck/mesh/inbound/retry_budget.py
@@ -122,6 +122,14 @@
         self._granted[self._step] += 1
         return True
 
+    def figures(self) -> dict[str, float]:
+        """Return what the next grant hangs on, for the log and the metrics."""
+        return {
+            "granted": sum(self._granted.values()),
+            "allowed": round(min(self._allowed, default=0.0), 1),
+            "targets": self.targets,
+        }
+
     def _left(self, kept_per_s: float = 0.0) -> float:
         """Return what may be granted now in each window that the present is in.
 
--- a/ferrydeck/mesh/members/registry.py
+++ b/ferrydeck/mesh/members/registry.py
@@ -81,6 +81,10 @@
     reached: bool = False
     """Whether the last call was answered."""
     answered_at: float = -1e9
+    era: int = 0
+    """The newest era that the store has stated; 0 for none."""
+    policy_revision: int | None = None
+    """The revision from which the policy is watched; `None` where it is to be read."""
     seen_boxes: bool = False
     """Whether the records were read at least once."""
     _down: bool = False
@@ -104,7 +108,8 @@
     _boxes_may_be_stale: bool = True
     """Whether the next read of the records may be seconds old."""
     _policy_at: float = 0.0
-    _policy_revision: int | None = None
+    _watched_at: float = 0.0
+    """When the watch of the policy was requested."""
     _policy_may_be_stale: bool = True
     """Whether the next read of the policy may be seconds old."""
 
@@ -129,9 +134,10 @@
             self._request(store.ReadBoxes(stale=self._boxes_may_be_stale))
 
     def answered(
-        self, now: float, request: store.Request, result: store.Result
+        self, now: float, request: store.Request, result: store.Result, era: int
     ) -> None:
-        """Act on the store's answer."""
+        """Act on the store's answer, which states the store's era (0 for none)."""
+        self._see_era(era)
         current = self._outstanding.get(type(request)) is request
         if current:
             del self._outstanding[type(request)]
@@ -154,15 +160,35 @@
                     self._leased(now, request, result)
         self.step(now)
 
+    def watch_age_s(self, now: float) -> float:
+        """Return for how long the watch of the policy waits, seconds; -1 for none."""
+        watched = store.WatchPolicy in self._outstanding
+        return now - self._watched_at if watched else -1.0
+
+    def _see_era(self, era: int) -> None:
+        if era <= self.era:
+            return
+        if self.era:
+            self.ctx.note(
+                "store-era",
+                outcome="changed",
+                era=era,
+                old=self.era,
+                revision=self.policy_revision,
+                lease=self._lease,
+            )
+        self.era = era
+
     def _step_policy(self, now: float) -> None:
         if self._outstanding.keys() & {store.ReadPolicy, store.WatchPolicy}:
             return
         if not self._wants_policy(now):
             return
-        if self._policy_revision is None:
+        if self.policy_revision is None:
             self._request(store.ReadPolicy(stale=self._policy_may_be_stale))
             return
-        watch = store.WatchPolicy(after=self._policy_revision, wait_s=POLICY_WAIT_S)
+        self._watched_at = now
+        watch = store.WatchPolicy(after=self.policy_revision, wait_s=POLICY_WAIT_S)
         self._request(watch)
 
     def _wants_policy(self, now: float) -> bool:
@@ -210,12 +236,12 @@
     def _policy_answered(self, now: float, result: store.Result) -> None:
         if isinstance(result, store.HistoryGone):
             # A stale read would lead to a revision that is forgotten as well.
-            self._policy_revision = None
+            self.policy_revision = None
             self._policy_may_be_stale = False
             return
         if not isinstance(result, store.PolicyFound):
             return
-        self._policy_revision = max(self._policy_revision or 0, result.at)
+        self.policy_revision = max(self.policy_revision or 0, result.at)
         if result.fault:
             self.ctx.note("policy-rejected", reason=result.fault, source="store")
         if result.policy is not None:
--- a/ferrydeck/mesh/metrics.py
+++ b/ferrydeck/mesh/metrics.py
@@ -26,6 +26,12 @@
     "policy_proof_age_seconds": "Age of the proof that the policy is the newest; -1 "
     "where nothing hangs on it.",
     "store_silent_seconds": "Time since the store last answered, seconds.",
+    "store_era": "Era that the store has stated; 0 for none.",
+    "policy_revision": "Revision from which the policy is watched; -1 for none.",
+    "policy_watch_age_seconds": "Time that the watch of the policy waits; -1 for none.",
+    "retries_granted": "Retries granted here in the last window.",
+    "retries_allowed": "Retries that the tightest open window allows here.",
+    "retry_targets": "Targets of the service among which the slack is divided.",
     "link_bytes_in": "Bytes received from other daemons.",
     "link_bytes_out": "Bytes sent to other daemons.",
     "server_connections_opened": "Connections opened to the server.",
@@ -91,6 +97,10 @@
             "peers_known": len(known),
             "policy_proof_age_seconds": _freshness_age_s(core, now),
             "store_silent_seconds": now - core.registry.answered_at,
+            "store_era": core.registry.era,
+            "policy_revision": _policy_revision(core),
+            "policy_watch_age_seconds": core.registry.watch_age_s(now),
+            **_retry_values(core),
             **others,
         }
         for name, value in values.items():
@@ -106,6 +116,20 @@
         return child
 
 
+def _policy_revision(core: core.Core) -> int:
+    held = core.registry.policy_revision
+    return -1 if held is None else held
+
+
+def _retry_values(core: core.Core) -> dict[str, float]:
+    figures = core.inbound.retry_budget.figures()
+    return {
+        "retries_granted": figures["granted"],
+        "retries_allowed": figures["allowed"],
+        "retry_targets": figures["targets"],
+    }
+
+
 def _freshness_age_s(core: core.Core, now: float) -> float:
     held = core.ctx.policy
     bound = (
--- a/ferrydeck/mesh/net/driver.py
+++ b/ferrydeck/mesh/net/driver.py
@@ -168,9 +168,11 @@
         self.metrics.decided(decision)
         self.decisions.write(clock.now(), decision)
 
-    def _store_answered(self, request: store.Request, result: store.Result) -> None:
+    def _store_answered(
+        self, request: store.Request, result: store.Result, era: int
+    ) -> None:
         self.metrics.store_called(type(request).__name__, type(result).__name__)
-        self.feed(events.StoreAnswered(request=request, result=result))
+        self.feed(events.StoreAnswered(request=request, result=result, era=era))
 
     def _read_policy(self, raw: bytes, source: str) -> None:
         policy = manifest.read(raw, source)
--- a/ferrydeck/mesh/net/store_client.py
+++ b/ferrydeck/mesh/net/store_client.py
@@ -27,6 +27,8 @@
 
     request: store.Request
     pages: list[bytes] = attrs.Factory(list)
+    era: int | None = None
+    """The era of the pages; `None` before the first one."""
 
 
 class StoreClient:
@@ -37,7 +39,7 @@
         *,
         poller: poller.Poller,
         address: str,
-        answered: Callable[[store.Request, store.Result], None],
+        answered: Callable[[store.Request, store.Result, int], None],
     ) -> None:
         self.answered = answered
         self.api = api_client.ApiClient(
@@ -59,14 +61,26 @@
 
     def _answered(self, asked: Asked, answer: api_client.Result) -> None:
         match answer:
-            case api_client.Answer(status=status, body=body):
-                asked.pages.append(body)
-                if self._more(asked, status, body):
-                    return
-                result = kv.from_http(asked.request, status, asked.pages)
+            case api_client.Answer():
+                result = self._read(asked, answer)
             case api_client.NoAnswer(detail=detail):
                 result = store.NoAnswer(detail=detail)
-        self.answered(asked.request, result)
+        if result is not None:
+            self.answered(asked.request, result, asked.era or 0)
+
+    def _read(self, asked: Asked, answer: api_client.Answer) -> store.Result | None:
+        """Return the result of an answer, `None` where another page is awaited."""
+        try:
+            era = kv.era(answer.fields)
+        except ValueError as exc:
+            return store.NoAnswer(detail=f"answer not understood: {exc}")
+        if asked.era not in (None, era):
+            return store.NoAnswer(detail="pages of two eras")
+        asked.era = era
+        asked.pages.append(answer.body)
+        if self._more(asked, answer.status, answer.body):
+            return None
+        return kv.from_http(asked.request, answer.status, asked.pages)
 
     def _more(self, asked: Asked, status: int, body: bytes) -> bool:
         """Ask for the next page; false where there is none."""
--- a/ferrydeck/net/api_client.py
+++ b/ferrydeck/net/api_client.py
@@ -34,6 +34,7 @@
 
     status: int
     body: bytes
+    fields: http.Fields
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -95,7 +96,7 @@
             case http_client.Replied(total=total, body=body) if total > len(body):
                 self.http.cancel(event.ticket)
                 answered(NoAnswer(detail="answer too long"))
-            case http_client.Replied(status=status, body=body):
-                answered(Answer(status=status, body=body))
+            case http_client.Replied(status=status, body=body, fields=fields):
+                answered(Answer(status=status, body=body, fields=fields))
             case request_client.Lost(detail=detail):
                 answered(NoAnswer(detail=detail))
--- a/ferrydeck/platform/kv.py
+++ b/ferrydeck/platform/kv.py
@@ -8,6 +8,7 @@
 
 import base64
 import ipaddress
+import re
 import urllib.parse
 from typing import Any
 
@@ -16,13 +17,16 @@
 
 from ferrydeck.config import findings
 from ferrydeck.mesh import store
-from ferrydeck.net import api_client
+from ferrydeck.net import api_client, http
 from ferrydeck.platform import manifest, units
 
 POLICY_KEY = "op/config"
 """Where operators put the policy."""
 BOXES = "ferrydeck/box/"
 """Where each daemon puts its record, before the name of its box."""
+ERA_FIELD = "store-era"
+"""Header field of each answer: rises by one when the store comes back from a copy."""
+ERA_FORM = re.compile(r"[0-9]{1,18}", re.ASCII)
 PAGE_MORE = "more"
 """Set in a page of records that others follow."""
 STALE = "&stale=1"
@@ -83,6 +87,16 @@
         return ""
 
 
+def era(fields: http.Fields) -> int:
+    """Return the era that an answer states, 0 for none; raises `ValueError`."""
+    stated = dict(fields).get(ERA_FIELD)
+    if stated is None:
+        return 0
+    if not ERA_FORM.fullmatch(stated):
+        raise ValueError(f"no era: {stated!r}")
+    return int(stated)
+
+
 def from_http(request: store.Request, status: int, bodies: list[bytes]) -> store.Result:
     """Return what the answer to a request means; one body for each page."""
     try:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -115,6 +115,17 @@
     assert isinstance(manifest.read(manifest_of()[:-9], "store"), findings.Rejected)
 
 
+def test_the_era_of_an_answer_is_read():
+    assert kv.era([("store-era", "12"), ("content-length", "2")]) == 12
+    assert kv.era([("content-length", "2")]) == 0
+
+
+@pytest.mark.parametrize("stated", ["", "-1", "1.5", "new", "\u0663", "9" * 40])
+def test_an_era_that_is_no_number_is_rejected(stated):
+    with pytest.raises(ValueError, match="no era"):
+        kv.era([("store-era", stated)])
+
+
 @pytest.mark.parametrize(("text", "value"), [("1500ms", 1.5), ("2.5s", 2.5)])
 def test_times_carry_their_unit(text, value):
     assert units.seconds(text) == value
