--- a/tests/mesh/simulation/store.py
+++ b/tests/mesh/simulation/store.py
@@ -1,4 +1,8 @@
-"""The store of a simulated world, with its faults."""
+"""The store of a simulated world, with its faults.
+
+It may come back from an older copy of itself: what was written since is gone, and its
+revisions and leases are given out again.
+"""
 
 from __future__ import annotations
 
@@ -28,6 +32,18 @@
     ends: float
 
 
+@attrs.define(kw_only=True, frozen=True)
+class Copy:
+    """What a copy of the store holds."""
+
+    policy: policy.Policy | None
+    records: dict[str, requests.BoxRecord]
+    revision: int
+    policy_revision: int
+    leases: set[int]
+    last_lease: int
+
+
 @attrs.define(kw_only=True)
 class Store:
     """Holds the policy, records of boxes and leases, and answers daemons."""
@@ -42,17 +58,24 @@
     """Tells whether the store does not answer a daemon."""
     refuses: Callable[[boxes.Box], bool] = lambda box: False
     """Tells whether the store rejects a daemon's requests at once."""
-    _revision: int = 1
+    era: int = 1
+    revision: int = 1
     _policy_revision: int = 0
     _leases: set[int] = attrs.Factory(set)
+    _last_lease: int = 100
     _watches: list[Watch] = attrs.Factory(list)
 
     def use(self, new: policy.Policy) -> None:
         """Store a policy."""
         self.policy = new
-        self._revision += 1
-        self._policy_revision = self._revision
-        new.revision = self._revision
+        self.revision += 1
+        self._policy_revision = self.revision
+        new.revision = self.revision
+        self._answer_watches()
+
+    def write(self, changes: int) -> None:
+        """Have others change what no daemon reads."""
+        self.revision += changes
         self._answer_watches()
 
     def lapse_leases(self) -> None:
@@ -60,6 +83,32 @@
         self._leases.clear()
         self.records.clear()
 
+    def copy(self) -> Copy:
+        """Return a copy of all that the store holds."""
+        return Copy(
+            policy=self.policy,
+            records=dict(self.records),
+            revision=self.revision,
+            policy_revision=self._policy_revision,
+            leases=set(self._leases),
+            last_lease=self._last_lease,
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to a copy: a new era begins, and all watches end."""
+        self.era += 1
+        self.policy = copy.policy
+        self.records = dict(copy.records)
+        self.revision = copy.revision
+        self._policy_revision = copy.policy_revision
+        self._leases = set(copy.leases)
+        self._last_lease = copy.last_lease
+        waiting, self._watches = self._watches, []
+        for watch in waiting:
+            if watch.box.incarnation == watch.incarnation:
+                lost = requests.NoAnswer(detail="connection ended")
+                self._answer(watch.box, watch.request, lost)
+
     def ask(self, box: boxes.Box, request: requests.Request) -> None:
         """Answer a daemon's request after the time that the store takes."""
         incarnation = box.incarnation
@@ -72,8 +121,7 @@
         refused = self.refuses(box)
         if refused or not self.up or self.cut(box):
             result = requests.NoAnswer(detail="refused" if refused else "down")
-            answered = events.StoreAnswered(request=request, result=result)
-            self.line.feed_later(box, answered, STORE_S if refused else SILENT_S)
+            self._answer(box, request, result, STORE_S if refused else SILENT_S)
             return
         self.line.after(STORE_S, serve)
 
@@ -82,7 +130,20 @@
             self._watch(box, request)
             return
         result = self._result(request)
-        self.line.feed(box, events.StoreAnswered(request=request, result=result))
+        answered = events.StoreAnswered(request=request, result=result, era=self.era)
+        self.line.feed(box, answered)
+
+    def _answer(
+        self,
+        box: boxes.Box,
+        request: requests.Request,
+        result: requests.Result,
+        after_s: float = STORE_S,
+    ) -> None:
+        """Feed a result later; a loss states no era."""
+        era = 0 if isinstance(result, requests.NoAnswer) else self.era
+        answered = events.StoreAnswered(request=request, result=result, era=era)
+        self.line.feed_later(box, answered, after_s)
 
     def _result(self, request: requests.Request) -> requests.Result:
         match request:
@@ -94,9 +155,9 @@
             case requests.ReadBoxes():
                 return requests.BoxesFound(records=tuple(self.records.values()))
             case requests.GrantLease(ttl_s=ttl_s):
-                lease = self.line.number()
-                self._leases.add(lease)
-                return requests.Leased(lease=lease, ttl_s=ttl_s)
+                self._last_lease += 1
+                self._leases.add(self._last_lease)
+                return requests.Leased(lease=self._last_lease, ttl_s=ttl_s)
             case requests.KeepLease(lease=lease) | requests.PutBox(lease=lease) if (
                 lease not in self._leases
             ):
@@ -105,12 +166,20 @@
                 return requests.Leased(lease=lease, ttl_s=LEASE_S)
             case requests.PutBox(record=record):
                 self.records[record.box] = record
+                self.revision += 1
                 return requests.Done()
 
     def _found(self) -> requests.PolicyFound:
-        return requests.PolicyFound(policy=self.policy, at=self._revision)
+        if self.policy is None:
+            return requests.PolicyFound(policy=None, at=self.revision)
+        # Each reader gets a policy of its own: daemons set the revision of theirs.
+        found = attrs.evolve(self.policy, revision=self._policy_revision)
+        return requests.PolicyFound(policy=found, at=self.revision)
 
     def _watch(self, box: boxes.Box, request: requests.WatchPolicy) -> None:
+        if request.after > self.revision:
+            self._answer(box, request, requests.HistoryGone(), 0.0)
+            return
         watch = Watch(
             box=box,
             incarnation=box.incarnation,
@@ -133,12 +202,11 @@
             if result is None:
                 self._watches.append(watch)
                 continue
-            answered = events.StoreAnswered(request=watch.request, result=result)
-            self.line.feed_later(watch.box, answered, STORE_S)
+            self._answer(watch.box, watch.request, result)
 
     def _watched(self, watch: Watch) -> requests.Result | None:
         if self._policy_revision > watch.request.after:
             return self._found()
         if self.line.now >= watch.ends:
-            return requests.PolicyFound(policy=None, at=self._revision)
+            return requests.PolicyFound(policy=None, at=self.revision)
         return None
--- /dev/null
+++ b/tests/mesh/test_metrics.py
@@ -0,0 +1,48 @@
+"""What logs and metrics say of the store's history and of retries."""
+
+from __future__ import annotations
+
+from ferrydeck.mesh import metrics
+from tests.mesh import samples
+
+
+def notes(world, kind: str) -> list[dict[str, object]]:
+    return [one.inputs for _, _, one in world.decisions if one.kind == kind]
+
+
+def test_the_return_of_the_store_from_a_copy_has_a_line():
+    world = samples.world_of(2)
+    world.run(5.0)
+    world.store.restore(world.store.copy())
+    world.run(4.0)
+    lines = notes(world, "store-era")
+    assert len(lines) == 2
+    assert all((line["old"], line["era"]) == (1, 2) for line in lines)
+
+
+def test_the_metrics_tell_what_a_late_policy_and_a_retry_hang_on():
+    world = samples.world_of(2)
+    world.run(5.0)
+    box = world.boxes["box-0"]
+    shown = metrics.Metrics().render(box.core, world.clock(box)).decode()
+    values = dict(
+        line.rsplit(" ", 1) for line in shown.splitlines() if not line.startswith("#")
+    )
+    assert float(values["ferrydeck_store_era"]) == 1
+    assert float(values["ferrydeck_policy_revision"]) > 0
+    assert 0 <= float(values["ferrydeck_policy_watch_age_seconds"]) <= 10.1
+    assert float(values["ferrydeck_retries_granted"]) == 0
+    assert float(values["ferrydeck_retry_targets"]) == 2
+
+
+def test_a_retry_that_is_not_granted_tells_what_it_hung_on():
+    world = samples.world_of(2)
+    for box in world.boxes.values():
+        box.target.sheds = True
+    samples.load(world, "box-0", 200, every_s=0.01)
+    refused = [
+        one.inputs
+        for _, _, one in world.decisions
+        if one.kind == "gate" and one.reason == "server-refused"
+    ]
+    assert any("allowed" in line and "targets" in line for line in refused)
