--- a/tests/mesh/simulation/store.py
+++ b/tests/mesh/simulation/store.py
@@ -94,8 +94,8 @@
             last_lease=self._last_lease,
         )
 
-    def restore(self, copy: Copy) -> None:
-        """Go back to a copy: a new era begins, and all watches end."""
+    def restore(self, copy: Copy, *, cuts_watches: bool = True) -> None:
+        """Go back to a copy: a new era begins, and watches end unless they wait on."""
         self.era += 1
         self.policy = copy.policy
         self.records = dict(copy.records)
@@ -103,6 +103,8 @@
         self._policy_revision = copy.policy_revision
         self._leases = set(copy.leases)
         self._last_lease = copy.last_lease
+        if not cuts_watches:
+            return
         waiting, self._watches = self._watches, []
         for watch in waiting:
             if watch.box.incarnation == watch.incarnation:
