--- a/ferrydeck/standins/kv_state.py
+++ b/ferrydeck/standins/kv_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import copy
+
 import attrs
 
 
@@ -39,6 +41,8 @@
 class KvState:
     """Items, leases and the history of changes, on a clock that is handed in."""
 
+    era: int = 1
+    """Rises by one when the state goes back to a copy of itself."""
     revision: int = 1
     items: dict[str, Item] = attrs.Factory(dict)
     leases: dict[int, Lease] = attrs.Factory(dict)
@@ -47,6 +51,24 @@
     """Changes up to this revision are not known any more."""
     _last_lease: int = 100
 
+    def copy(self) -> KvState:
+        """Return a copy of all that is held."""
+        return copy.deepcopy(self)
+
+    def restored(self, older: KvState, keep: str) -> KvState:
+        """Return what a copy holds, in a new era.
+
+        Keys below the prefix `keep` are written again as they are now. Other changes
+        since the copy are gone; their revisions and leases are given out again.
+        """
+        back = older.copy()
+        back.era = self.era + 1
+        for item in self.items.values():
+            held = back.items.get(item.key)
+            if item.key.startswith(keep) and (held is None or held.value != item.value):
+                back.put(item.key, item.value)
+        return back
+
     def put(self, key: str, value: str, lease: int = 0) -> int:
         """Write a key; return the revision."""
         self.revision += 1
@@ -102,7 +124,7 @@
 
     def since(self, prefix: str, after: int) -> list[Change] | None:
         """Return the changes below a prefix, `None` where some are not known."""
-        if after < self.forgotten:
+        if not self.forgotten <= after <= self.revision:
             return None
         return [
             one
--- a/ferrydeck/standins/kv_store.py
+++ b/ferrydeck/standins/kv_store.py
@@ -9,10 +9,13 @@
 import msgspec
 
 from ferrydeck import clock
+from ferrydeck.signed.wire import messages
 from ferrydeck.standins import kv_state, loop
 
 EXPIRE_EVERY_S = 0.05
 POLICY_KEY = "op/config"
+OPERATORS = "op/"
+"""Keys that operators write, and write again when the store has lost them."""
 READ_ONLY = ("op/", "servers/")
 
 
@@ -44,6 +47,8 @@
     def __init__(self, *, ip: str, port: int) -> None:
         super().__init__(ip=ip, ports=[port])
         self.state = kv_state.KvState()
+        self.older = self.state.copy()
+        """The copy that the store goes back to."""
         self.fault = Fault.NONE
         self.calls = 0
         self.watchers: dict[int, Watcher] = {}
@@ -74,19 +79,46 @@
                 revision = self.state.put(POLICY_KEY, value)
                 self._tell_watchers()
                 self.answer(req.call, 200, {"revision": revision})
+            case "/standin/write":
+                revision = self.state.put(req.body.decode(), "")
+                self._tell_watchers()
+                self.answer(req.call, 200, {"revision": revision})
             case "/standin/fault":
                 self.fault = Fault(req.body.decode())
                 self.answer(req.call, 200, {})
             case "/standin/forget":
                 self.state.forget()
-                for call in list(self.watchers):
-                    del self.watchers[call]
-                    self.abort(call)
+                self._cut_watchers()
                 self.answer(req.call, 200, {})
+            case "/standin/copy":
+                self.older = self.state.copy()
+                self.answer(req.call, 200, {"revision": self.state.revision})
+            case "/standin/restore":
+                self.state = self.state.restored(self.older, OPERATORS)
+                self.older = self.state.copy()
+                self._cut_watchers()
+                self.answer(req.call, 200, {"era": self.state.era})
             case _:
                 keys = sorted(self.state.items)
                 self.answer(req.call, 200, {"keys": keys, "calls": self.calls})
 
+    def answer(
+        self,
+        call: int,
+        status: int,
+        body: object = None,
+        *,
+        headers: tuple[messages.Header, ...] = loop.JSON_HEADERS,
+    ) -> None:
+        """Answer a call with the era of the state."""
+        era = messages.Header(name="Store-Era", value=str(self.state.era))
+        super().answer(call, status, body, headers=(*headers, era))
+
+    def _cut_watchers(self) -> None:
+        for call in list(self.watchers):
+            del self.watchers[call]
+            self.abort(call)
+
     def _serve(self, req: loop.Asked) -> None:
         match req.method, req.path:
             case "GET", "/api/kv-key":
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -135,6 +135,41 @@
         )
 
 
+# Guards against revisions and leases of the store's history before its return from a
+# copy: the next policy was missed, and records stayed lost.
+def test_a_new_policy_is_in_force_after_the_store_came_back_from_a_copy(mesh):
+    boxes = two_boxes(mesh)
+    mesh.control("copy")
+    # Revisions that the copy doesn't have: the daemons hold the last of them.
+    for version in (6, 7, 9):
+        mesh.use(mesh_fleet.manifest(version))
+        in_force(boxes, version)
+    third = mesh.add_box()
+    mesh.wait_linked()
+    mesh.control("restore")
+    mesh.use(mesh_fleet.manifest(12))
+    for number in range(40):
+        mesh.control("write", f"other/{number}".encode())
+    in_force([*boxes, third], 12)
+    fleet.eventually(
+        lambda: sum("ferrydeck/box/" in key for key in keys_held(mesh)) == 3,
+        "all records are back",
+    )
+    eras = [one for box in boxes for one in box.lines() if one["kind"] == "store-era"]
+    assert [(one["old"], one["era"]) for one in eras] == [(1, 2)] * 2
+
+
+def in_force(boxes, version: int) -> None:
+    fleet.eventually(
+        lambda: all(box.metric("ferrydeck_policy_version") == version for box in boxes),
+        f"version {version} is in force",
+    )
+
+
+def keys_held(mesh) -> list[str]:
+    return mesh.control("state")["keys"]
+
+
 @pytest.mark.parametrize("fault", ["busy", "silent", "lost"])
 def test_requests_are_served_while_the_store_is_faulty(mesh, fault):
     first, _ = two_boxes(mesh)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -44,7 +44,10 @@
     """Boxes whose daemon was struck, from when until when."""
     logs: dict[str, list[dict[str, object]]]
     """The lines of each daemon process."""
+    last: set[str]
+    """Those of the daemons that ran until the end."""
     version: int
+    """The newest policy."""
     ended_by: list[str]
     """The path of the request under which each server ended."""
     exit_codes: list[tuple[str, int]]
@@ -91,6 +94,7 @@
     found += _held(history)
     found += _after_leaving(history)
     found += _versions(history)
+    found += _newest(history)
     found += _lethal(history)
     found += _recovery(history)
     found += [f"EXIT {name}: {code}" for name, code in history.exit_codes if code]
@@ -146,6 +150,20 @@
     return found
 
 
+def _newest(history: History) -> list[str]:
+    """Return the daemons of the end that do not have the newest policy in force."""
+    found = []
+    for name, lines in history.logs.items():
+        if any(line["kind"] == "stop" for line in lines) or name not in history.last:
+            continue
+        seen = [line["version"] for line in lines if line["kind"] == "policy-in-force"]
+        if seen[-1:] != [history.version]:
+            found.append(
+                f"CONFIG {name}: {seen[-1:]} at the end, not {history.version}"
+            )
+    return found
+
+
 def _lethal(history: History) -> list[str]:
     """Return requests under which more servers ended than parts of the fleet allow."""
     ended = collections.Counter(history.ended_by)
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -55,6 +55,8 @@
     version: int = 4
     lethal: bool = False
     """Whether requests come that end the servers that run them."""
+    restores: bool = False
+    """Whether the store comes back from older copies of itself."""
     _copies: int = 0
     _tasks: set[asyncio.Task] = attrs.Factory(set)
 
@@ -72,6 +74,7 @@
     def _strike(self) -> None:
         place = self.rng.choice(self.places)
         more = [self._send_lethal] * 4 if self.lethal else []
+        more += [self._restore] * 3 if self.restores else []
         kind = self.rng.choice(
             [
                 *more,
@@ -161,6 +164,14 @@
     async def _forget(self, place: Place) -> None:
         await self._control("forget", b"")
 
+    async def _restore(self, place: Place) -> None:
+        """Have the store come back from a copy, and others write to it."""
+        await self._control("copy", b"")
+        await asyncio.sleep(self.rng.uniform(0.2, 3.0))
+        await self._control("restore", b"")
+        for number in range(self.rng.randint(0, 20)):
+            await self._control("write", f"other/{number}".encode())
+
     async def _policy(self, place: Place) -> None:
         self.version += self.rng.randint(1, 3)
         table = mesh_fleet.manifest(self.version)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 import attrs
 
 from ferrydeck import clock
+from ferrydeck.standins import fleet as processes
 from ferrydeck.standins import port_range
 from tests.platform import mesh_fleet
 from tests.soak import checks, clients, proxy, schedule
@@ -55,7 +56,13 @@
 
 
 async def play_in(
-    folder: pathlib.Path, seed: int, boxes: int, seconds: float, lethal: bool
+    folder: pathlib.Path,
+    seed: int,
+    boxes: int,
+    seconds: float,
+    *,
+    lethal: bool,
+    restores: bool,
 ) -> Played:
     """Play one seed with its files in a folder."""
     fleet = mesh_fleet.MeshFleet(folder)
@@ -72,7 +79,11 @@
         ]
         running = [asyncio.ensure_future(one.run()) for one in callers]
         plan = schedule.Schedule(
-            rng=random.Random(seed), fleet=fleet, places=places, lethal=lethal
+            rng=random.Random(seed),
+            fleet=fleet,
+            places=places,
+            lethal=lethal,
+            restores=restores,
         )
         await plan.play(seconds)
         await asyncio.sleep(CALM_S)
@@ -81,6 +92,7 @@
         for one in callers:
             one.stopping = True
         await asyncio.gather(*running)
+        last = {log_name(place.box.daemon) for place in places}
         for place in places:
             await place.links.close()
             await place.store.close()
@@ -93,10 +105,11 @@
         calm_from=calm_from,
         troubled=plan.troubled,
         logs={
-            f"{one.name} {one.log.name}": checks.whole_lines(one.log)
+            log_name(one): checks.whole_lines(one.log)
             for one in fleet.processes
             if one.name.startswith("daemon-")
         },
+        last=last,
         version=plan.version,
         ended_by=checks.ended_by(fleet),
         exit_codes=plan.exit_codes,
@@ -111,6 +124,11 @@
     )
 
 
+def log_name(daemon: processes.Process) -> str:
+    """Return how the log of a daemon is named in the history."""
+    return f"{daemon.name} {daemon.log.name}"
+
+
 def play(
     folder: pathlib.Path,
     seed: int,
@@ -118,9 +136,11 @@
     boxes: int,
     seconds: float,
     lethal: bool = False,
+    restores: bool = False,
 ) -> Played:
-    """Play one seed, with requests that end servers or without."""
-    return asyncio.run(play_in(folder, seed, boxes, seconds, lethal))
+    """Play one seed; requests may end servers, and the store come back from a copy."""
+    played = play_in(folder, seed, boxes, seconds, lethal=lethal, restores=restores)
+    return asyncio.run(played)
 
 
 def main() -> int:
@@ -130,6 +150,9 @@
     parser.add_argument("--boxes", type=int, default=5)
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--lethal", action="store_true", help="requests end servers")
+    parser.add_argument(
+        "--restores", action="store_true", help="the store comes back from copies"
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
@@ -139,7 +162,12 @@
         folder = keep / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
         played = play(
-            folder, seed, boxes=args.boxes, seconds=args.seconds, lethal=args.lethal
+            folder,
+            seed,
+            boxes=args.boxes,
+            seconds=args.seconds,
+            lethal=args.lethal,
+            restores=args.restores,
         )
         failed += bool(played.broken)
         print(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,10 @@
     check(soak.play(tmp_path, 2, boxes=4, seconds=8.0, lethal=True))
 
 
+def test_promises_hold_while_the_store_comes_back_from_copies(tmp_path):
+    check(soak.play(tmp_path, 3, boxes=4, seconds=8.0, restores=True))
+
+
 @pytest.mark.parametrize("seed", FAILED_ONCE)
 def test_a_seed_that_failed_once_holds(tmp_path, seed):
     check(soak.play(tmp_path, seed, boxes=5, seconds=15.0))
