--- a/ferrydeck/mesh/members/registry.py
+++ b/ferrydeck/mesh/members/registry.py
@@ -315,8 +315,11 @@
                 self._confirmed(request.version, request.asked_at)
             case store.PolicyFound(policy=found) if found is not None:
                 self._policy_answered(now, result)
-                self._confirmed(found.version, request.asked_at)
                 self._set_revision(found)
+                # A store that holds an older policy has lost the one in force, and
+                # perhaps a newer one.
+                if found.version >= self.ctx.version:
+                    self._confirmed(found.version, request.asked_at)
             case store.PolicyFound(fault=fault):
                 self.ctx.note("policy-rejected", reason=fault, source="store")
 
