--- a/ferrydeck/mesh/net/target_client.py
+++ b/ferrydeck/mesh/net/target_client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 
 import attrs
@@ -29,6 +30,10 @@
 used."""
 RELEARN_S = 10.0
 """How long what was learned of dropped connections holds, seconds."""
+PROBES = 2
+UNACKED_MS = 3000
+"""How long a target may leave sent bytes unacknowledged until the kernel ends the
+connection, milliseconds."""
 LATE_SLACK_S = 0.1
 """How much later than its deadline a target's answer is still waited for, seconds."""
 KEEP_ALIVE = "keep-alive"
@@ -82,6 +87,8 @@
     """Sends requests to the target and hands their answers to `listener`."""
 
     conn_class = TargetConn
+    probes = PROBES
+    unacked_ms = UNACKED_MS
     until_close = True
 
     def __init__(
@@ -126,6 +133,10 @@
         conn.foreign = False
         conn.body = bytearray()
         data = request_bytes(method, path, fields, body)
+        if len(data) > WHOLE:
+            # The target may leave a long body unread, which the kernel would take for
+            # silence.
+            conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
         self._start(conn, ticket, now + left_s + LATE_SLACK_S, data)
 
     def expire(self, now: float) -> None:
--- a/ferrydeck/net/api_client.py
+++ b/ferrydeck/net/api_client.py
@@ -99,4 +99,7 @@
             case http_client.Replied(status=status, body=body, fields=fields):
                 answered(Answer(status=status, body=body, fields=fields))
             case request_client.Lost(detail=detail):
+                # Whatever ended or silenced this connection may have done so to the
+                # idle ones, while a new one works.
+                self.http.drop_idle()
                 answered(NoAnswer(detail=detail))
--- a/ferrydeck/net/http_client.py
+++ b/ferrydeck/net/http_client.py
@@ -96,6 +96,11 @@
         conn.passed = 0
         self._start(conn, ticket, deadline, data)
 
+    def drop_idle(self) -> None:
+        """Close the connections that carry no request."""
+        for conn in list(self.idle):
+            self.shut(conn)
+
     def data_read(self, conn: ClientConn, data: bytes) -> None:
         """Read an answer."""
         if not conn.ticket:
--- a/ferrydeck/net/request_client.py
+++ b/ferrydeck/net/request_client.py
@@ -51,6 +51,11 @@
     """Sends requests to one address and hands their answers to `listener`."""
 
     conn_class: type[RequestConn] = RequestConn
+    probes = 1
+    """Unanswered probes of the kernel after which a connection is lost: one, as lost
+    requests of this kind are asked again."""
+    unacked_ms = 0
+    """How long sent bytes may stay unacknowledged; 0 where requests time out sooner."""
     until_close = False
     """Whether a body may end with its connection."""
 
@@ -113,6 +118,7 @@
         sock = sockets.dial(self.address)
         if sock is None:
             return None
+        sockets.end_when_silent(sock, probes=self.probes, unacked_ms=self.unacked_ms)
         conn = self.conn_class(sock=sock)
         self.adopt(conn)
         self.await_writable(conn)
--- a/ferrydeck/net/sockets.py
+++ b/ferrydeck/net/sockets.py
@@ -22,6 +22,10 @@
 """Bytes read at once."""
 AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 """Errors of a socket that only has nothing to read, or no room, for now."""
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+"""How long a connection carries no byte until the kernel probes it, and the pause from
+probe to probe, seconds."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -208,6 +212,20 @@
     return host.strip("[]"), int(port)
 
 
+def end_when_silent(sock: socket.socket, *, probes: int, unacked_ms: int = 0) -> None:
+    """Have the kernel end a connection that says nothing more, without a reset.
+
+    It ends after some unanswered probes, or once sent bytes have not been acknowledged
+    for `unacked_ms`, milliseconds; 0 leaves that to the kernel's own limit.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
+    if unacked_ms:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_ms)
+
+
 def dial(address: str) -> socket.socket | None:
     """Return a socket that is connecting to an address, or `None`."""
     host, port = split_address(address)
