--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -113,6 +113,7 @@
             boxes_found=self.peers.replace_records,
             data_centre_rank=self.peers.data_centre_rank,
             linked=self.peers.linked,
+            cut_off=self.peers.cut_off,
             policy_freshness=self.policy_freshness,
         )
 
--- a/ferrydeck/mesh/members/peer_table.py
+++ b/ferrydeck/mesh/members/peer_table.py
@@ -103,6 +103,16 @@
             for peer in self.by_address.values()
         )
 
+    def cut_off(self) -> bool:
+        """Return whether other data centres are known, and none of them is linked."""
+        own = self.ctx.identity.data_centre
+        others = [
+            peer
+            for peer in self.by_address.values()
+            if peer.data_centre not in ("", own)
+        ]
+        return bool(others) and all(one.link is not peers.Link.UP for one in others)
+
     def tick(self, now: float) -> None:
         """Dial, ping and hang up as it is due.
 
--- a/ferrydeck/mesh/members/registry.py
+++ b/ferrydeck/mesh/members/registry.py
@@ -37,7 +37,8 @@
 """How long one watch of the policy waits, seconds. A watch whose connection was cut
 receives nothing for that long; other daemons announce a change sooner."""
 WATCHERS = 4
-"""Daemons of a data centre that watch the policy; the others receive it on links."""
+"""Daemons of a data centre that watch the policy; the others receive it on links, and
+watch for themselves while their data centre is cut off."""
 GATHER_S = 0.4
 """Pause before the policy is asked for anew after a change, seconds: changes that come
 together then cost one call. The users want a change in force within two seconds."""
@@ -76,6 +77,9 @@
     boxes_found: Callable[[float, tuple[store.BoxRecord, ...]], None]
     data_centre_rank: Callable[[], int]
     """Returns how many linked daemons of this data centre come before this one."""
+    cut_off: Callable[[], bool]
+    """Returns whether no daemon of another data centre is linked, though some are
+    known."""
     linked: Callable[[], bool]
     """Returns whether this daemon is linked with any other one."""
     policy_freshness: policy_freshness.PolicyFreshness
@@ -252,8 +256,10 @@
             return True
         if now < self._policy_at:
             return False
-        settled = now - self._started >= WATCH_AFTER_S
-        return settled and self.data_centre_rank() < WATCHERS
+        if now - self._started < WATCH_AFTER_S:
+            return False
+        # Those who watch here may have lost the store, and nobody else tells of it.
+        return self.data_centre_rank() < WATCHERS or self.cut_off()
 
     def _step_confirmation(self, now: float) -> None:
         """Ask whether the policy is still the newest, where keys depend on that."""
--- a/tests/mesh/test_registry.py
+++ b/tests/mesh/test_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.mesh import samples
+from tests.mesh.simulation import links
 
 
 def calls_made(world, seconds: float) -> dict[str, int]:
@@ -98,3 +99,22 @@
     linked = [box.core.peers.linked() for box in world.boxes.values()]
     assert all(linked)
     assert all(len(box.core.peers.by_address) == 3 for box in world.boxes.values())
+
+
+# Guards against a data centre that is cut off from the others and where the store
+# doesn't answer those who watch the policy: nobody there learned of a change.
+def test_daemons_cut_off_from_other_data_centres_watch_for_themselves():
+    world = samples.world_of(12, data_centres=2)
+    world.run(10.0)
+    watching = [
+        box.name
+        for box in world.boxes.values()
+        if box.data_centre == "hall-0" and box.core.peers.data_centre_rank() < 4
+    ]
+    assert len(watching) == 4
+    world.store.cut = lambda box: box.name in watching
+    world.links.cut = links.around("hall-0")
+    world.run(4.0)
+    world.store.use(samples.policy_of(samples.route("new"), version=9))
+    world.run(2.0)
+    assert {box.core.ctx.version for box in world.boxes.values()} == {9}
