--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -228,9 +228,7 @@
                 self.leaving.check(now)
 
     def _tick_peers(self, now: float) -> None:
-        self.inbound.retry_budget.see_targets(
-            1 + self.peers.targets(self.identity.service)
-        )
+        self._count_targets(now)
         linked = [peer for peer in self.peers.by_address.values() if peer.out]
         self.peers.tick(now)
         self.policies.ask_for_confirmation(now)
@@ -238,6 +236,19 @@
             if peer.link is peers.Link.DOWN:
                 self.outbound.link_down(now, peer)
 
+    def _count_targets(self, now: float) -> None:
+        """Have the retry budget know among how many targets the slack is divided.
+
+        Others may be unknown until the records were read, and the daemons that start
+        together have found each other.
+        """
+        if not self.registry.seen_boxes or now - self._started < SETTLE_S:
+            return
+        budget = self.inbound.retry_budget
+        if self.registry.ran_before:
+            budget.started = self._started
+        budget.see_targets(1 + self.peers.targets(self.identity.service))
+
     def _outgoing_down(self, now: float, address: str) -> None:
         peer = self.peers.link_down(now, address)
         if peer is not None:
--- a/ferrydeck/mesh/inbound/retry_budget.py
+++ b/ferrydeck/mesh/inbound/retry_budget.py
@@ -52,8 +52,11 @@
     slack: float
     """Agreed retries in a window without any request, over the whole service."""
     window_s: float
-    targets: int = 1
-    """Targets of the service; never less than were ever seen."""
+    started: float = float("-inf")
+    """When this daemon started, where one ran on its box before: what that one has
+    granted is not known."""
+    targets: int = 0
+    """Targets of the service; never less than were ever seen, 0 while not known."""
     _first: collections.Counter[int] = attrs.Factory(collections.Counter)
     """Requests by step that came here first."""
     _priorities: collections.Counter[tuple[int, int]] = attrs.Factory(
@@ -192,8 +195,17 @@
         """Return the bound of a window by the requests that are known so far."""
         ends = (end, end - window // 2, end - window)
         most = max(self._count_first(one - window, one) for one in ends)
-        part = self.slack * SLACK_SHARE / self.targets
-        return self.ratio * SHARE * most + part
+        return self.ratio * SHARE * most + self._slack_part(end)
+
+    def _slack_part(self, end: int) -> float:
+        """Return this side's part of the slack, in the window that ends with a step.
+
+        There is none in a window in which another daemon of this box may have spent
+        it, nor while it is not known how many others have one.
+        """
+        if not self.targets or end * STEP_S - self.window_s < self.started:
+            return 0.0
+        return self.slack * SLACK_SHARE / self.targets
 
     def _count_first(self, after: int, until: int) -> int:
         return sum(
--- a/ferrydeck/mesh/members/peer_table.py
+++ b/ferrydeck/mesh/members/peer_table.py
@@ -63,6 +63,7 @@
         if record.incarnation >= peer.incarnation:
             peer.box = record.box
             peer.data_centre = record.data_centre
+            peer.service = record.service
         self.changed = True
 
     def add_address(self, now: float, address: str) -> None:
@@ -87,11 +88,11 @@
         return any(peer.link is peers.Link.UP for peer in self.by_address.values())
 
     def targets(self, service: str) -> int:
-        """Return how many other daemons have a target of a service."""
-        return sum(
-            peer.target_state is not None and peer.target_state.service == service
-            for peer in self.by_address.values()
-        )
+        """Return how many other daemons have a target of a service.
+
+        A daemon that is not linked counts by its record.
+        """
+        return sum(peer.service == service for peer in self.by_address.values())
 
     def data_centre_rank(self) -> int:
         """Return how many linked daemons of this data centre come before this one."""
@@ -194,6 +195,7 @@
         """Take the target state that a daemon announced."""
         old = peer.target_state
         peer.target_state = target_state
+        peer.service = target_state.service
         peer.cold_until = now + target_state.cold_s
         self.changed = True
         if target_state.phase == messages.Phase.LEAVING and target_state.incarnation:
--- a/ferrydeck/mesh/members/peers.py
+++ b/ferrydeck/mesh/members/peers.py
@@ -35,6 +35,8 @@
     box: str = ""
     incarnation: int = 0
     data_centre: str = ""
+    service: str = ""
+    """The service of its target, as its record or the daemon itself states it."""
     link: Link = Link.DOWN
     target_state: messages.TargetState | None = None
     cold_until: float = 0.0
--- a/ferrydeck/mesh/members/registry.py
+++ b/ferrydeck/mesh/members/registry.py
@@ -92,6 +92,8 @@
     """The revision from which the policy is watched; `None` where it is to be read."""
     seen_boxes: bool = False
     """Whether the records were read at least once."""
+    ran_before: bool = False
+    """Whether the first read had a record of an earlier daemon of this box."""
     _down: bool = False
     """Whether the last call failed, so that only one probes for the store's return."""
     _outstanding: dict[type, store.Request] = attrs.Factory(dict)
@@ -344,7 +346,9 @@
     ) -> None:
         if not isinstance(result, store.BoxesFound):
             return
-        self.seen_boxes = True
+        if not self.seen_boxes:
+            self.seen_boxes = True
+            self.ran_before = self._earlier_record(result.records)
         if result.odd != self._unreadable:
             self._unreadable = result.odd
             self.ctx.note("records", outcome="odd", count=result.odd)
@@ -360,6 +364,12 @@
             self.ctx.note("record-lost", reason="missing", lease=self._lease)
             self._written_at = None
 
+    def _earlier_record(self, records: tuple[store.BoxRecord, ...]) -> bool:
+        own = self.ctx.identity
+        return any(
+            one.box == own.box and one.incarnation != own.incarnation for one in records
+        )
+
     def _granted(self, now: float, result: store.Result) -> None:
         if isinstance(result, store.Leased):
             self._lease = result.lease
--- a/tests/mesh/test_retry_parts.py
+++ b/tests/mesh/test_retry_parts.py
@@ -22,7 +22,9 @@
         self.retries: list[float] = []
 
     def side(self, started: float, targets: int = TARGETS) -> retry_budget.RetryBudget:
-        made = retry_budget.RetryBudget(ratio=RATIO, slack=SLACK, window_s=WINDOW_S)
+        made = retry_budget.RetryBudget(
+            ratio=RATIO, slack=SLACK, window_s=WINDOW_S, started=started
+        )
         if targets:
             made.see_targets(targets)
         return made
