--- a/tests/mesh/test_retry_schedules.py
+++ b/tests/mesh/test_retry_schedules.py
@@ -6,9 +6,8 @@
 
 from tests.mesh import retry_schedules
 
-
 OVER_THE_BOUND = (409, 499, 613)
-"""Seeds with more retries than agreed while each start of a daemon brought slack anew."""
+"""Seeds over the bound while each start of a daemon brought its part of the slack."""
 NEAR_THE_BOUND = (12, 83, 94, 96, 101, 110)
 
 
