--- a/ferrydeck/mesh/inbound/retry_budget.py
+++ b/ferrydeck/mesh/inbound/retry_budget.py
@@ -90,6 +90,8 @@
     """The first step in which anything was counted."""
     _quota: float = float("inf")
     """What may be granted in this period by the counts of all sides."""
+    _quota_before: float = 0.0
+    """The same of the period before; 0 where there was no limit."""
     _allowed: list[float] = attrs.Factory(list)
     """The bounds of the windows that end with this step and with each later one."""
 
@@ -198,10 +200,9 @@
         if not fresh:
             self._quota = float("inf")
             return
-        left = self._service_left()
-        if self._quota != float("inf"):
-            # Who has not reported yet may have granted as much as this side might.
-            left -= self.others.awaited(self._step, self.period) * self._quota
+        # Who has not reported yet may have granted as much as this side might.
+        awaited = self.others.awaited(self._step, self.period)
+        left = self._service_left() - awaited * self._quota_before
         self._quota = max(0.0, left) / (1 + fresh)
 
     def _service_left(self) -> float:
@@ -271,14 +272,16 @@
         step = int(now / STEP_S)
         if step == self._step:
             return
+        if step - step % self.period > self._step:
+            self._quota_before = self._quota if self._quota < float("inf") else 0.0
         self._step = step
         if self._first_step is None:
             self._first_step = step
         window = self._window
-        _forget(self._first, step - 2 * window)
-        _forget(self._granted, step - window)
-        _forget(self._dispatched, step - RATE_STEPS)
-        _forget(self._shed, step - RATE_STEPS)
+        service_counts.forget(self._first, step - 2 * window)
+        service_counts.forget(self._granted, step - window)
+        service_counts.forget(self._dispatched, step - RATE_STEPS)
+        service_counts.forget(self._shed, step - RATE_STEPS)
         for counts in (self._priorities, self._asked):
             for old in [one for one in counts if one[0] <= step - RECENT_STEPS]:
                 del counts[old]
@@ -306,8 +309,3 @@
         return sum(
             count for step, count in self._first.items() if after < step <= until
         )
-
-
-def _forget(counts: collections.Counter[int], until: int) -> None:
-    for step in [one for one in counts if one <= until]:
-        del counts[step]
--- a/ferrydeck/mesh/inbound/service_counts.py
+++ b/ferrydeck/mesh/inbound/service_counts.py
@@ -68,12 +68,12 @@
     def forget(self, until: int) -> None:
         """Forget steps, and sides of which nothing else is known."""
         for address, report in list(self._reports.items()):
-            _forget(report.requests, until)
-            _forget(report.retries, until)
+            forget(report.requests, until)
+            forget(report.retries, until)
             if not report.requests and not report.retries:
                 del self._reports[address]
-        _forget(self.requests, until)
-        _forget(self.retries, until)
+        forget(self.requests, until)
+        forget(self.retries, until)
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -109,6 +109,7 @@
         known[step - age] = count
 
 
-def _forget(counts: collections.Counter[int], until: int) -> None:
+def forget(counts: collections.Counter[int], until: int) -> None:
+    """Forget what was counted up to a step."""
     for step in [one for one in counts if one <= until]:
         del counts[step]
