--- a/tests/mesh/simulation/callers.py
+++ b/tests/mesh/simulation/callers.py
@@ -30,6 +30,9 @@
     box: str
     at: float
     once: bool
+    path: str
+    run_id: str = ""
+    """The request whose run makes it as a call; empty for a caller's own."""
     answer: Answer | None = None
     gone_at: float | None = None
     then: Callable[[], None] | None = None
@@ -61,7 +64,14 @@
         """Have a caller on a box send a request, or the run of an id make a call."""
         number = self.line.number()
         request_id = f"{run_id}.{number}" if run_id else f"r{number}"
-        req = Request(request_id=request_id, box=box.name, at=self.line.now, once=once)
+        req = Request(
+            request_id=request_id,
+            box=box.name,
+            at=self.line.now,
+            once=once,
+            path=path,
+            run_id=run_id,
+        )
         self.requests[request_id] = req
         event = events.RequestReceived(
             conn=number,
