--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -339,6 +339,7 @@
     def _hello_received(self, now: float, link: int, hello: messages.Hello) -> None:
         self.incoming_links.add(now, link, hello)
         self.peers.add_address(now, hello.address)
+        self.peers.protocol_stated(hello.address, hello.protocol)
         self.inbound.target.peer_report(now, hello.left)
         welcome = messages.Welcome(
             box=self.identity.box,
--- a/ferrydeck/mesh/inbound/retry_exchange.py
+++ b/ferrydeck/mesh/inbound/retry_exchange.py
@@ -48,7 +48,7 @@
         return [
             number
             for number, link in self.incoming_links.by_number.items()
-            if link.protocol >= messages.RETRY_COUNTS_PROTOCOL
+            if link.protocol >= messages.RETRY_PROTOCOL
             and (peer := self.peers.by_address.get(link.address)) is not None
             and peer.service == own
         ]
--- a/ferrydeck/mesh/members/peer_table.py
+++ b/ferrydeck/mesh/members/peer_table.py
@@ -73,6 +73,11 @@
         peer = self._peer(now, address)
         peer.unlisted_at = now
 
+    def protocol_stated(self, address: str, protocol: int) -> None:
+        """Take the version of the protocol that a daemon has stated as it dialled."""
+        if (peer := self.by_address.get(address)) is not None:
+            peer.protocol = protocol
+
     def replace_records(self, now: float, records: tuple[store.BoxRecord, ...]) -> None:
         """Take all records that the store holds."""
         addresses = {one.address for one in records}
--- a/ferrydeck/mesh/members/peers.py
+++ b/ferrydeck/mesh/members/peers.py
@@ -35,6 +35,8 @@
     box: str = ""
     incarnation: int = 0
     data_centre: str = ""
+    protocol: int = 0
+    """The version of the protocol that it speaks; 0 until it has dialled here."""
     service: str = ""
     """The service of its target, as its record or the daemon itself states it."""
     link: Link = Link.DOWN
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -16,8 +16,8 @@
 
 PROTOCOL = 7
 """Version of the protocol, which `Hello` states."""
-RETRY_COUNTS_PROTOCOL = 7
-"""The first version whose daemons take `RetryCounts`."""
+RETRY_PROTOCOL = 7
+"""The first version whose daemons take `RetryCounts` and `Retry.REJECTED`."""
 Fields = list[tuple[str, str]]
 """Header fields in the order in which they came."""
 
@@ -81,6 +81,9 @@
     """It is a call of a run that is a retry."""
     MAY_HAVE_RUN = 2
     """It may have run before: the inbound side decides whether it may run again."""
+    REJECTED = 3
+    """A target has rejected it before. Its arrival was granted there; the calls of its
+    run are retries."""
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/ferrydeck/mesh/outbound/attempts.py
+++ b/ferrydeck/mesh/outbound/attempts.py
@@ -90,6 +90,9 @@
         self, now: float, req: outbound_request.OutboundRequest, incarnation: str
     ) -> messages.Forward:
         received = req.received
+        retry = req.retry
+        if retry is messages.Retry.REJECTED and not _takes_rejected(req.peer):
+            retry = messages.Retry.NO
         return _forward_of(
             req.team_name,
             number=req.current_attempt,
@@ -112,10 +115,15 @@
             retryable=req.route.retryable,
             came_back=req.came_back,
             first=req.sends == 1,
-            retry=req.retry,
+            retry=retry,
         )
 
 
+def _takes_rejected(peer: peers.Peer | None) -> bool:
+    """Return whether a daemon, `None` for this one, knows of rejected requests."""
+    return peer is None or peer.protocol >= messages.RETRY_PROTOCOL
+
+
 def _forward_of(team: str, **values: object) -> messages.Forward:
     """Return a request as it is sent to a daemon, with its team where it has one."""
     if team:
--- a/ferrydeck/mesh/outbound/outbound_request.py
+++ b/ferrydeck/mesh/outbound/outbound_request.py
@@ -77,6 +77,8 @@
         """Whether its arrival at a target counts against the bound on retries."""
         if self.may_have_run:
             return messages.Retry.MAY_HAVE_RUN
+        if self.targets:
+            return messages.Retry.REJECTED
         if self.parent is not None and self.parent.forward.retry:
             return messages.Retry.CALL
         return messages.Retry.NO
--- a/tests/mesh/test_calls_of_retries.py
+++ b/tests/mesh/test_calls_of_retries.py
@@ -126,25 +126,25 @@
     assert counted == len(retries_at(world, "mid")) > 20
 
 
-def test_a_daemon_of_an_earlier_protocol_is_sent_no_reason_that_it_does_not_know():
+def test_a_daemon_of_an_earlier_protocol_is_sent_no_reason_that_it_does_not_know(
+    monkeypatch,
+):
     world = chain_of(1, levels=2)
     for box in world.boxes.values():
         for peer in box.core.peers.by_address.values():
-            peer.protocol = messages.RETRY_COUNTS_PROTOCOL - 1
+            peer.protocol = messages.RETRY_PROTOCOL - 1
     shed_at(world, "desk")
     sent = []
-    for box in world.boxes.values():
-        box.core.peers.send = _recorded(sent, box.core.peers.send)
+    encode = messages.encode
+
+    def recorded(message):
+        sent.append(message)
+        return encode(message)
+
+    monkeypatch.setattr(messages, "encode", recorded)
     for number in range(100):
         samples.ask(world, f"desk-{number % 3}", path="/desk/1")
         world.run(0.02)
     kinds = {one.retry for one in sent if isinstance(one, messages.Forward)}
-    assert kinds <= {0, 1, 2}
-
-
-def _recorded(sent: list, send):
-    def recorded(now, peer, message):
-        sent.append(message)
-        send(now, peer, message)
-
-    return recorded
+    assert messages.Retry.REJECTED not in kinds
+    assert kinds <= {messages.Retry.NO, messages.Retry.CALL}
