--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -109,7 +109,6 @@
         self.retry_exchange = retry_exchange.RetryExchange(
             ctx=ctx,
             peers=self.peers,
-            incoming_links=self.incoming_links,
             budget=self.inbound.retry_budget,
         )
         self.leaving = leaving.Leaving(
@@ -298,8 +297,6 @@
                 self.heartbeats.relayed(number, taken=taken)
             case messages.TeamGrants():
                 self.coordination.grants_received(now, address, message)
-            case messages.RetryCounts():
-                self.retry_exchange.received(now, address, message)
             case messages.SuspectReports(suspects=reports):
                 changed = self.inbound.suspects.records.merge(now, reports)
                 self.inbound.crashes.suspects_changed(now, changed)
@@ -331,6 +328,8 @@
                 self.policies.reply_received(raw, incoming.box)
             case messages.HeartbeatRelay():
                 self.heartbeats.relay(now, link, message)
+            case messages.RetryCounts():
+                self.retry_exchange.received(now, incoming.address, message)
             case messages.TeamUsages():
                 self.coordination.usages_received(now, link, message)
             case messages.TeamGrants():
--- a/ferrydeck/mesh/inbound/retry_exchange.py
+++ b/ferrydeck/mesh/inbound/retry_exchange.py
@@ -1,7 +1,9 @@
 """Tells the daemons of a service's other targets how many retries are granted here.
 
-Counts go back on the links that those daemons dialled, once a period, while any side
-grants retries. Owns the time of the last report; the counts are `retry_budget`'s.
+Counts go out on the links that this daemon has dialled, once a period, while any side
+grants retries. On the links that the others dialled they would pass for answers, and
+hide that nothing of theirs arrives. Owns the time of the last report; the counts are
+`retry_budget`'s.
 """
 
 from __future__ import annotations
@@ -10,7 +12,7 @@
 
 from ferrydeck.mesh import context, messages
 from ferrydeck.mesh.inbound import retry_budget
-from ferrydeck.mesh.members import incoming_links, peer_table
+from ferrydeck.mesh.members import peer_table, peers
 
 
 @attrs.define(kw_only=True)
@@ -19,7 +21,6 @@
 
     ctx: context.Context
     peers: peer_table.Peers
-    incoming_links: incoming_links.IncomingLinks
     budget: retry_budget.RetryBudget
     _reported: int = 0
     """The period of the last report."""
@@ -35,20 +36,15 @@
             return
         requests, retries = counts
         message = messages.RetryCounts(requests=requests, retries=retries)
-        for number in self._links():
-            self.incoming_links.send(number, message)
+        for peer in self.peers.by_address.values():
+            if self._takes_counts(peer):
+                self.ctx.send(peer.address, message)
 
     def received(self, now: float, address: str, counts: messages.RetryCounts) -> None:
         """Take the counts of the daemon at an address."""
         self.budget.report_received(now, address, counts.requests, counts.retries)
 
-    def _links(self) -> list[int]:
-        """Return the links of daemons whose targets are of the same service."""
-        own = self.ctx.identity.service
-        return [
-            number
-            for number, link in self.incoming_links.by_number.items()
-            if link.protocol >= messages.RETRY_PROTOCOL
-            and (peer := self.peers.by_address.get(link.address)) is not None
-            and peer.service == own
-        ]
+    def _takes_counts(self, peer: peers.Peer) -> bool:
+        linked = peer.link is peers.Link.UP
+        known = peer.protocol >= messages.RETRY_PROTOCOL
+        return linked and known and peer.service == self.ctx.identity.service
--- a/ferrydeck/mesh/members/incoming_links.py
+++ b/ferrydeck/mesh/members/incoming_links.py
@@ -18,8 +18,6 @@
     box: str
     address: str
     """Where that daemon takes links."""
-    protocol: int
-    """The version of the protocol that it speaks."""
     floor_s: float = float("inf")
     """The least difference of the two clocks seen on it, seconds."""
 
@@ -39,9 +37,7 @@
 
     def add(self, now: float, number: int, hello: messages.Hello) -> None:
         """Take the daemon that sends a `Hello` as the other end of a link."""
-        link = IncomingLink(
-            box=hello.box, address=hello.address, protocol=hello.protocol
-        )
+        link = IncomingLink(box=hello.box, address=hello.address)
         link.delay_s(now, hello.sent_s)
         self.by_number[number] = link
 
--- a/tests/mesh/test_retry_exchange.py
+++ b/tests/mesh/test_retry_exchange.py
@@ -42,8 +42,8 @@
 def test_a_daemon_of_an_earlier_protocol_is_sent_no_counts(monkeypatch):
     world, sent = shedding(monkeypatch)
     for box in world.boxes.values():
-        for link in box.core.incoming_links.by_number.values():
-            link.protocol = messages.RETRY_PROTOCOL - 1
+        for peer in box.core.peers.by_address.values():
+            peer.protocol = messages.RETRY_PROTOCOL - 1
     samples.load(world, "box-0", 300)
     assert sent["RetryCounts"] == 0
 
@@ -63,3 +63,21 @@
     sent.clear()
     world.run(10.0)
     assert sent["RetryCounts"] == 0
+
+
+# Guards against reports that pass for answers: a daemon whose messages are lost one way
+# was not found silent, and what was sent to it was lost for as long as it reported.
+def test_reports_do_not_hide_that_a_daemon_receives_nothing(monkeypatch):
+    world, _ = shedding(monkeypatch)
+    samples.load(world, "box-0", 200)
+    deaf, sender = world.boxes["box-1"], world.boxes["box-0"]
+    world.links.cut = lambda one, other: one is sender and other is deaf
+    since = world.now
+    samples.load(world, "box-2", 400)
+    lost = [
+        at
+        for at, name, one in world.decisions
+        if name == "box-0" and one.kind == "link-lost" and one.inputs["peer"] == "box-1"
+    ]
+    assert lost
+    assert lost[0] - since < 3.0
