--- a/ferrydeck/mesh/members/registry.py
+++ b/ferrydeck/mesh/members/registry.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import typing
 from collections.abc import Callable
 
 import attrs
@@ -202,9 +203,8 @@
             self.ctx.policy.revision = 0
         self._lease = 0
         self._written_at = None
-        for kind in (store.ProvePolicy, store.WatchPolicy, store.KeepLease):
+        for kind in typing.get_args(store.Numbered):
             self._outstanding.pop(kind, None)
-        self._outstanding.pop(store.PutBox, None)
 
     def _of_another_era(self, request: store.Request, era: int) -> bool:
         """Return whether an answer, or the number it was asked with, is of another era.
--- a/ferrydeck/mesh/net/target_client.py
+++ b/ferrydeck/mesh/net/target_client.py
@@ -31,6 +31,7 @@
 RELEARN_S = 10.0
 """How long what was learned of dropped connections holds, seconds."""
 PROBES = 2
+"""Unanswered probes of the kernel after which a connection to the target is lost."""
 UNACKED_MS = 3000
 """How long a target may leave sent bytes unacknowledged until the kernel ends the
 connection, milliseconds."""
