Observability: a line and two metrics for the rate that a target states

Cause: from the daemons' output, the moment at which a target names its limit (Server-Limit in its answers) is like any other, and requests at the target can't be counted, since the log leaves lines out under load. So the hypotheses of docs/incidents/server-limit.md can't be told apart.

Change: the adapter reads the field (a decimal number; of several the lowest; a value that is none leaves the limit as it is and gets a line), inbound/rate_limit keeps what is stated, and logs server-limit. Metrics ferrydeck_server_rate_limit and ferrydeck_server_requests. No decision depends on it yet. The simulated targets and the stand-in server can state a limit.

--- a/ferrydeck/mesh/events.py
+++ b/ferrydeck/mesh/events.py
@@ -109,6 +109,10 @@
     """Whether the target confirms that the answer is complete."""
     target_id: str = ""
     load: TargetLoad | None = None
+    rate_limit: float | None = None
+    """Requests a second that the target accepts; `None` if it states no limit."""
+    invalid_rate_limit: str = ""
+    """The stated limit if it is not a decimal number."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -24,6 +24,7 @@
     price_reports,
     pricing,
     queueing,
+    rate_limit,
     request_queue,
     results,
     retry_budget,
@@ -63,6 +64,7 @@
     )
     target: target_watch.TargetWatch = attrs.field(init=False)
     shedder: load_shedding.LoadShedder = attrs.field(init=False)
+    rate_limit: rate_limit.RateLimit = attrs.field(init=False)
     retry_budget: retry_budget.RetryBudget = attrs.field(init=False)
     runs: runs.Runs = attrs.field(init=False)
     results: results.Results = attrs.field(init=False)
@@ -77,6 +79,7 @@
         self.shedder = load_shedding.LoadShedder(
             ctx=ctx, costs=self.costs, prices=self.prices
         )
+        self.rate_limit = rate_limit.RateLimit(ctx=ctx)
         self.retry_budget = retry_budget.RetryBudget(
             ratio=ctx.limits.retry_ratio,
             slack=ctx.limits.retry_slack,
@@ -240,6 +243,7 @@
             return
         self.runs.answered_at = now
         facts = event.facts
+        self._read_rate_limit(now, req, facts)
         if facts.not_run:
             self._target_rejected(now, req, facts)
             return
@@ -325,6 +329,13 @@
             notice_stalled=self.ctx.switches.notice_stalled,
         )
 
+    def _read_rate_limit(
+        self, now: float, req: inbound_request.InboundRequest, facts: events.AnswerFacts
+    ) -> None:
+        target_id = rate_limit.target_id_of(req.forward.incarnation, facts)
+        if target_id is not None:
+            self.rate_limit.answer_received(now, target_id, req.started_at, facts)
+
     def _end_answered(
         self, now: float, req: inbound_request.InboundRequest, *, full: bool
     ) -> None:
@@ -366,6 +377,9 @@
     def _target_opened(self, now: float) -> None:
         """Announce that the target accepts requests."""
         self.suspects.incarnation_started()
+        self.rate_limit.target_opened(
+            incarnations.target_id_of(self.target.incarnation)
+        )
         self.announce(now)
 
     def _target_closed(self, now: float, reason: messages.Reason) -> None:
--- a/ferrydeck/mesh/inbound/runs.py
+++ b/ferrydeck/mesh/inbound/runs.py
@@ -31,6 +31,8 @@
     isolation: isolation.IsolationQueue
     by_dispatch: dict[int, inbound_request.InboundRequest] = attrs.Factory(dict)
     """The runs at the target by dispatch number, the oldest first."""
+    started: int = 0
+    """Requests that were sent to the target."""
     answered_at: float = 0.0
     """Time of the target's last complete or partial answer."""
     _admitted: dict[tuple[int, int], inbound_request.InboundRequest] = attrs.Factory(
@@ -88,6 +90,7 @@
         forward = req.forward
         req.expected_calls = self.costs.expected_calls(forward.route)
         self.retry_budget.count_dispatch(now)
+        self.started += 1
         self.by_dispatch[req.dispatch] = req
         self._by_request_id[forward.request_id] = req
         self.ctx.emit(
--- a/ferrydeck/mesh/metrics.py
+++ b/ferrydeck/mesh/metrics.py
@@ -21,6 +21,8 @@
     "server_running": "Requests at the server of this box.",
     "server_waiting": "Requests that wait for the server of this box.",
     "server_limit": "Requests at the server at once.",
+    "server_rate_limit": "Requests a second that the server accepts; -1 for no limit.",
+    "server_requests": "Requests sent to the server of this box.",
     "peers_linked": "Daemons whose link stands.",
     "peers_known": "Daemons that are known.",
     "policy_proof_age_seconds": "Age of the proof that the policy is the newest; -1 "
@@ -93,6 +95,8 @@
             "server_running": len(core.inbound.runs),
             "server_waiting": len(core.inbound.waiting),
             "server_limit": core.inbound.limit,
+            "server_rate_limit": _rate_limit(core),
+            "server_requests": core.inbound.runs.started,
             "peers_linked": sum(one.link is peers.LinkState.UP for one in known),
             "peers_known": len(known),
             "policy_proof_age_seconds": _policy_age_s(core, now),
@@ -116,6 +120,11 @@
         return child
 
 
+def _rate_limit(core: core.Core) -> float:
+    rate_per_s = core.inbound.rate_limit.rate_per_s
+    return -1.0 if rate_per_s is None else rate_per_s
+
+
 def _policy_revision(core: core.Core) -> int:
     held = core.registry.policy_revision
     return -1 if held is None else held
--- a/ferrydeck/platform/headers.py
+++ b/ferrydeck/platform/headers.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import re
+
 import attrs
 
 from ferrydeck.mesh import effects, events, messages
@@ -25,6 +27,8 @@
 """Service from which the request originates."""
 INSTANCE = "x-instance-id"
 """Id of the responding target."""
+RATE_LIMIT = "server-limit"
+"""Requests a second that the target accepts from all boxes together."""
 KEY = "x-api-key"
 """API key that identifies the caller's team; secret."""
 TEAM = "x-tenant"
@@ -34,6 +38,9 @@
 MISDIRECTED = 421
 """Status of a target that is not the expected one and did not run the request."""
 
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+"""A decimal number without sign and exponent."""
+
 REPLACED = frozenset({REQUEST_ID, DEADLINE, EXPECT, CALLER})
 """Fields of the caller that are replaced before forwarding."""
 REPLACED_WITH_TEAMS = REPLACED | {KEY, TEAM}
@@ -121,11 +128,16 @@
 def read_answer(status: int, fields: messages.Fields) -> events.AnswerFacts:
     """Parse the status and the fields of a target's answer."""
     values = dict(fields)
+    rate_limit, invalid = None, ""
+    if RATE_LIMIT in values:
+        rate_limit, invalid = _parse_rate_limit(fields)
     return events.AnswerFacts(
         not_run=NOT_RUN in values or status == MISDIRECTED,
         confirmed_complete=SEAL in values,
         target_id=values.get(INSTANCE, ""),
         load=_parse_load(values.get(LOAD, "")),
+        rate_limit=rate_limit,
+        invalid_rate_limit=invalid,
     )
 
 
@@ -150,6 +162,19 @@
     return [(name, value) for name, value in fields if name not in excluded]
 
 
+def _parse_rate_limit(fields: messages.Fields) -> tuple[float | None, str]:
+    """Return the lowest stated rate limit, and the first value that is invalid."""
+    texts = [
+        text.strip()
+        for name, value in fields
+        if name == RATE_LIMIT
+        for text in value.split(",")
+    ]
+    rates = [float(text) for text in texts if DECIMAL.fullmatch(text)]
+    invalid = (text or "empty" for text in texts if not DECIMAL.fullmatch(text))
+    return min(rates, default=None), next(invalid, "")
+
+
 def _parse_load(text: str) -> events.TargetLoad | None:
     """Parse a load report; return `None` if it is absent or invalid."""
     parts = text.split(",")
--- a/ferrydeck/standins/app_server.py
+++ b/ferrydeck/standins/app_server.py
@@ -74,6 +74,8 @@
         self.report_interval_s = report_interval_s
         self.fault_mode = FaultMode.WELL
         self.leaving = False
+        self.rate_limit = ""
+        """The rate limit in all answers; empty for none."""
         self.sequence = 0
         self.running_count = 0
         self.executions: list[Execution] = []
@@ -102,6 +104,8 @@
                 return
             case "/standin/work":
                 self.work_s = float(req.body)
+            case "/standin/limit":
+                self.rate_limit = req.body.decode()
         ran = [one.request_id for one in self.executions]
         self.answer(req.call, 200, {"ran": ran, "running": self.running_count})
 
@@ -176,6 +180,8 @@
             "x-instance-id": self.instance,
             "x-server-load": f"{self.running_count},0,{self.slots}",
         }
+        if self.rate_limit:
+            fields_sent["server-limit"] = self.rate_limit
         if not_run:
             fields_sent["x-not-executed"] = "1"
         if sealed:
--- a/tests/mesh/simulation/box.py
+++ b/tests/mesh/simulation/box.py
@@ -40,6 +40,8 @@
     sheds: bool = False
     shed_ratio: float = 0.0
     fails: bool = False
+    rate_limit: float | None = None
+    """Requests a second that it states to accept; `None` for no limit."""
     calls: tuple[Calls, ...] = ()
     lethal: tuple[str, ...] = ()
     """Path prefixes of requests that crash the target."""
--- a/tests/mesh/simulation/targets.py
+++ b/tests/mesh/simulation/targets.py
@@ -272,6 +272,9 @@
     def _answer(
         self, box: boxes.Box, dispatch: int, status: int, facts: events.AnswerFacts
     ) -> None:
+        target = box.target
+        if facts.target_id == target.target_id:
+            facts = attrs.evolve(facts, rate_limit=target.rate_limit)
         answered = events.TargetAnswered(
             dispatch=dispatch,
             status=status,
--- a/tests/mesh/test_metrics.py
+++ b/tests/mesh/test_metrics.py
@@ -46,3 +46,20 @@
         if one.kind == "gate" and one.reason == "server-refused"
     ]
     assert any("allowed" in line and "targets" in line for line in refused)
+
+
+def test_a_limit_that_a_target_states_is_logged_and_shown():
+    world = samples.world_of(1)
+    box = world.boxes["box-0"]
+    for rate in (8.0, 8.1, None):
+        box.target.rate_limit = rate
+        samples.load(world, "box-0", 3, every_s=0.3)
+    lines = [
+        (one.outcome, one.inputs["rate_per_s"])
+        for _, _, one in world.decisions
+        if one.kind == "server-limit"
+    ]
+    assert lines == [("stated", 8.0), ("lifted", None)]
+    shown = metrics.Metrics().render(box.core, world.clock(box)).decode()
+    assert "ferrydeck_server_rate_limit -1.0" in shown
+    assert "ferrydeck_server_requests 9.0" in shown
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -289,3 +289,26 @@
         return sum(len(path.read_text().splitlines()) for path in files)
 
     assert lines("ferrydeck/platform") < lines("ferrydeck") / 10
+
+
+@pytest.mark.parametrize(
+    ("values", "rate_limit", "invalid"),
+    [
+        (["18.3"], 18.3, ""),
+        (["0"], 0.0, ""),
+        (["0.3"], 0.3, ""),
+        (["9", "4.5"], 4.5, ""),
+        (["9, 4.5"], 4.5, ""),
+        (["9", "soon"], 9.0, "soon"),
+        (["-3"], None, "-3"),
+        (["NaN"], None, "NaN"),
+        (["1e30"], None, "1e30"),
+        ([""], None, "empty"),
+        ([], None, ""),
+    ],
+)
+def test_a_rate_limit_is_a_decimal_number_and_the_lowest_one_counts(
+    values, rate_limit, invalid
+):
+    facts = headers.read_answer(200, [("server-limit", value) for value in values])
+    assert (facts.rate_limit, facts.invalid_rate_limit) == (rate_limit, invalid)
