--- a/tests/mesh/simulation/targets.py
+++ b/tests/mesh/simulation/targets.py
@@ -33,6 +33,17 @@
     path: str = ""
 
 
+@attrs.define(kw_only=True, frozen=True)
+class Statement:
+    """What a target stated about itself in an answer."""
+
+    at: float
+    target_id: str
+    rate_limit: float | None
+    origin: str
+    """Box at which the request began; empty if unknown."""
+
+
 @attrs.define(kw_only=True)
 class Execution:
     """A run of a request in progress."""
@@ -64,6 +75,8 @@
     call_host: str
     """Host of the calls that targets make."""
     runs: list[Run] = attrs.Factory(list)
+    statements: list[Statement] = attrs.Factory(list)
+    """The statements in all answers, in the order sent."""
     acks: dict[int, Callable[[bool], None]] = attrs.Factory(dict)
     """Callbacks for heartbeat acknowledgements, by connection."""
 
@@ -187,7 +200,7 @@
             return
         if not runs:
             facts = events.AnswerFacts(not_run=True, target_id=target.target_id)
-            self._answer(box, effect.dispatch, 503, facts)
+            self._answer(box, effect, 503, facts)
             return
         self._start(box, effect)
 
@@ -257,7 +270,7 @@
         if execution.target.running.pop(dispatch, None) is not None:
             target_id = execution.target.target_id
             facts = events.AnswerFacts(confirmed_complete=True, target_id=target_id)
-            self._answer(execution.box, dispatch, 500, facts)
+            self._answer(execution.box, execution.effect, 500, facts)
 
     def _finish(self, execution: Execution) -> None:
         box, target = execution.box, execution.target
@@ -267,14 +280,21 @@
             self.timeline.feed(box, lost(dispatch, "lost"))
             return
         facts = events.AnswerFacts(confirmed_complete=True, target_id=target.target_id)
-        self._answer(box, dispatch, 500 if target.fails else 200, facts)
+        status = 500 if target.fails else 200
+        self._answer(box, execution.effect, status, facts)
 
     def _answer(
-        self, box: boxes.Box, dispatch: int, status: int, facts: events.AnswerFacts
+        self,
+        box: boxes.Box,
+        effect: effects.Dispatch,
+        status: int,
+        facts: events.AnswerFacts,
     ) -> None:
+        dispatch, request_id = effect.dispatch, effect.request_id
         target = box.target
         if facts.target_id == target.target_id:
             facts = attrs.evolve(facts, rate_limit=target.rate_limit)
+            self._record_statement(target, request_id)
         answered = events.TargetAnswered(
             dispatch=dispatch,
             status=status,
@@ -286,6 +306,17 @@
         )
         self.timeline.feed_later(box, answered, ANSWER_DELAY_S)
 
+    def _record_statement(self, target: boxes.Target, request_id: str) -> None:
+        req = self.callers.requests.get(request_id)
+        self.statements.append(
+            Statement(
+                at=self.timeline.now,
+                target_id=target.target_id,
+                rate_limit=target.rate_limit,
+                origin=req.box if req is not None else "",
+            )
+        )
+
     def _restart(self, box: boxes.Box, crashed: boxes.Target) -> None:
         if box.target is crashed:
             self.replace(box, same_id=crashed.reuse_id)
--- /dev/null
+++ b/tests/mesh/test_rate_limit.py
@@ -0,0 +1,116 @@
+"""Guards against targets that get more requests than they state to accept."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.mesh import samples, simulation, stated_limits
+
+PER_S = 240
+RATE = 8.0
+
+
+def limited_world(rate: float = RATE, boxes: int = 6) -> simulation.World:
+    world = samples.world_of(boxes, data_centres=2, work_s=0.02)
+    send(world, 2.0)
+    world.boxes["box-0"].target.rate_limit = rate
+    return world
+
+
+def send(world: simulation.World, seconds: float, per_s: int = PER_S) -> list:
+    """Send requests at all boxes in turn; every third is a posting."""
+    names = list(world.boxes)
+    requests = []
+    for number in range(int(seconds * per_s)):
+        name = names[number % len(names)]
+        if world.boxes[name].up:
+            post = number % 3 == 0
+            requests.append((samples.post if post else samples.ask)(world, name))
+        world.run(1.0 / per_s)
+    return requests
+
+
+def over_limit(world: simulation.World, *excused: str) -> list[str]:
+    return stated_limits.over_limit(world, frozenset(excused))
+
+
+def test_a_target_gets_what_it_accepts_and_the_others_take_the_rest():
+    world = limited_world()
+    since = world.now + 1.0
+    requests = send(world, 12.0)
+    until = world.now
+    world.run(2)
+    assert over_limit(world) == []
+    assert samples.statuses(requests) == [200] * len(requests)
+    target_id = world.boxes["box-0"].target.target_id
+    used = stated_limits.requests_in(world, target_id, since, until)
+    assert used > 0.75 * RATE * (until - since)
+
+
+@pytest.mark.parametrize("down_s", [0.2, 1.0])
+def test_the_limit_holds_when_the_daemon_of_the_target_restarts(down_s):
+    world = limited_world(rate=2.0)
+    send(world, 5.0)
+    for _ in range(3):
+        world.kill(world.boxes["box-0"], down_s)
+        send(world, 2.5)
+    world.run(2)
+    assert over_limit(world, "box-0") == []
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.3])
+def test_a_target_that_accepts_almost_nothing_is_found_when_it_recovers(rate):
+    world = limited_world(rate=rate)
+    send(world, 12.0)
+    assert over_limit(world) == []
+    box = world.boxes["box-0"]
+    box.target.rate_limit = None
+    send(world, 6.0)
+    since = world.now
+    send(world, 2.0)
+    used = stated_limits.requests_in(world, box.target.target_id, since, world.now)
+    assert used > 0.5 * PER_S / len(world.boxes) * 2.0
+
+
+def test_a_limit_that_changes_is_kept_at_each_rate():
+    world = limited_world()
+    box = world.boxes["box-0"]
+    for rate in (8.0, 20.0, 3.0):
+        box.target.rate_limit = rate
+        send(world, 6.0)
+    assert over_limit(world) == []
+
+
+def test_the_most_urgent_are_served_when_all_targets_state_limits():
+    world = limited_world()
+    for box in world.boxes.values():
+        box.target.rate_limit = RATE
+    send(world, 4.0, per_s=120)
+    since = world.now
+    requests = send(world, 10.0, per_s=120)
+    until = world.now
+    world.run(3)
+    assert over_limit(world) == []
+    assert simulation.violations(world) == []
+    posts = [req for req in requests if req.once]
+    asked = [req for req in requests if not req.once]
+    # The six targets accept 48 requests a second; 40 postings and 80 lookups are sent.
+    assert samples.statuses(posts).count(200) > 0.85 * len(posts)
+    rejected = [req for req in asked if req.answer.status != 200]
+    assert {req.answer.status for req in rejected} == {503}
+    assert min(req.answer.retry_after_s for req in rejected) > 0.0
+    used = sum(since <= run.at < until for run in world.targets.runs)
+    assert used > 0.8 * 6 * RATE * (until - since)
+
+
+def test_a_target_that_replaces_a_limited_one_has_no_limit():
+    world = limited_world()
+    send(world, 4.0)
+    box = world.boxes["box-0"]
+    box.target.rate_limit = None
+    world.targets.crash(box, 0.2)
+    send(world, 2.0)
+    since = world.now
+    send(world, 12.0)
+    used = stated_limits.requests_in(world, box.target.target_id, since, world.now)
+    assert used > 2 * RATE * 12.0
