A target gets no more requests a second than it states to accept (LIMIT)

What was seen: targets that named a limit got two to three times what the agreed bound allows, from all boxes; callers were answered, the targets in need were not relieved.

Cause: what a target accepts was known from its slots alone. The class: a bound of a target that no admission decision takes as an input.

Change: all requests reach a target through the daemon of its box, so that daemon keeps the rate with a token bucket, taken where a run starts (runs.start): first attempts, retries, suspects and calls alike. While another target of the service has room, a request without a token is rejected at once (reason rate-limit, not run) and goes elsewhere; daemons avoid the target for the time that the rejection names, at most 0.25 s. Slots and rate together are the capacity that load balancing, expected waiting time and Retry-After reckon with. While all targets of a service state limits, requests queue for a quarter of a second at most, the urgent displace the others, and the price of the service follows the capacity, so that callers upstream shed first.

Other daemons are sent the limit (links' protocol 8, message 23) and keep it: a daemon that starts is sent it with the first message on a link, before any request from that box.

Why it works: the bound is on the sum over all boxes, and the one place that all requests pass counts it; what it forgets with a restart, the boxes that were told give back.

--- a/ferrydeck/commands/explain.py
+++ b/ferrydeck/commands/explain.py
@@ -14,6 +14,7 @@
 
 CAUSES_BY_RESULT = {
     ("refused", "overload"): "refused: no daemon asked had a slot in time",
+    ("refused", "rate-limit"): "refused: the servers accept fewer requests a second",
     ("refused", "pressure"): "refused: a downstream service lacked capacity or failed",
     ("refused", "no-server"): "refused: no daemon of the service accepted requests",
     ("refused", "closed"): "refused: the daemons asked were shutting down",
--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -73,7 +73,11 @@
             ctx=ctx, records=records.SuspectRecords(), send_reports=self._send_suspects
         )
         self.inbound = inbound.Inbound(
-            ctx=ctx, reply=self._reply, announce=self._send_state, suspects=suspects
+            ctx=ctx,
+            reply=self._reply,
+            announce=self._send_state,
+            announce_rate_limit=self._send_rate_limit,
+            suspects=suspects,
         )
         self.policy_freshness = policy_freshness.PolicyFreshness(
             ttl_s=self.limits.revoke_s
@@ -236,6 +240,10 @@
 
     def _check_links(self, now: float) -> None:
         self._update_target_count(now)
+        limit = self.inbound.rate_limit
+        limit.service_limited = limit.rate_per_s is not None and (
+            self.peers.all_limited(self.identity.service)
+        )
         self.retry_exchange.tick(now)
         linked = [peer for peer in self.peers.by_address.values() if peer.in_flight]
         self.peers.check_links(now)
@@ -300,6 +308,8 @@
                 self.heartbeats.end_relay(number, accepted=accepted)
             case messages.TeamGrants():
                 self.quota_exchange.grants_received(now, address, message)
+            case messages.RateLimit(rate_per_s=rate_per_s):
+                peer.rate_limit = message if rate_per_s >= 0 else None
             case messages.SuspectReports(suspects=reports):
                 changed = self.inbound.suspects.records.merge(now, reports)
                 self.inbound.crashes.suspects_changed(now, changed)
@@ -333,6 +343,10 @@
                 self.heartbeats.on_relay(now, link, message)
             case messages.RetryCounts():
                 self.retry_exchange.received(now, incoming.address, message)
+            case messages.RateLimit(target_id=target_id, rate_per_s=rate_per_s):
+                limit = self.inbound.rate_limit
+                if not limit.peer_reported(now, target_id, rate_per_s):
+                    self.incoming_links.send(link, self._rate_limit())
             case messages.TeamUsages():
                 self.quota_exchange.usages_received(now, link, message)
             case messages.TeamGrants():
@@ -352,6 +366,9 @@
             sent_s=now,
         )
         self.incoming_links.send(link, welcome)
+        supported = hello.protocol >= messages.MIN_RATE_LIMIT_PROTOCOL
+        if supported and self.inbound.rate_limit.rate_per_s is not None:
+            self.incoming_links.send(link, self._rate_limit())
         if known := self.inbound.suspects.records.reports(now):
             self.incoming_links.send(link, messages.SuspectReports(suspects=known))
         if (
@@ -385,6 +402,17 @@
         """Broadcast the target state of this box to all linked daemons."""
         self.policies.broadcast_state(now)
 
+    def _send_rate_limit(self, now: float) -> None:
+        """Broadcast the rate limit of the target to the daemons that support it."""
+        self.incoming_links.broadcast(
+            self._rate_limit(), min_protocol=messages.MIN_RATE_LIMIT_PROTOCOL
+        )
+
+    def _rate_limit(self) -> messages.RateLimit:
+        limit = self.inbound.rate_limit
+        rate_per_s = -1.0 if limit.rate_per_s is None else limit.rate_per_s
+        return messages.RateLimit(target_id=limit.target_id, rate_per_s=rate_per_s)
+
     def _send_suspects(self, reports: list[messages.SuspectReport]) -> None:
         """Broadcast reports of requests suspected of crashing targets."""
         self.incoming_links.broadcast(messages.SuspectReports(suspects=reports))
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -50,6 +50,8 @@
     """Sends a message to the daemon that forwarded a request, possibly this one."""
     announce: Callable[[float], None]
     """Sends the target state to all other daemons."""
+    announce_rate_limit: Callable[[float], None]
+    """Sends the rate limit of the target to all other daemons."""
     suspects: tracker.PoisonTracker
     stopping: bool = False
     correlator: correlation.CallCorrelator = attrs.Factory(correlation.CallCorrelator)
@@ -79,7 +81,9 @@
         self.shedder = load_shedding.LoadShedder(
             ctx=ctx, costs=self.costs, prices=self.prices
         )
-        self.rate_limit = rate_limit.RateLimit(ctx=ctx)
+        self.rate_limit = rate_limit.RateLimit(
+            ctx=ctx, on_change=self._rate_limit_changed
+        )
         self.retry_budget = retry_budget.RetryBudget(
             ratio=ctx.limits.retry_ratio,
             slack=ctx.limits.retry_slack,
@@ -90,6 +94,7 @@
             target=self.target,
             costs=self.costs,
             retry_budget=self.retry_budget,
+            rate_limit=self.rate_limit,
             isolation=self.suspects.isolation,
         )
         self.results = results.Results(
@@ -134,6 +139,11 @@
         """Maximum number of concurrent runs."""
         return self.runs.limit
 
+    @property
+    def capacity(self) -> float:
+        """Concurrent runs that the slots and the rate limit of the target sustain."""
+        return self.runs.capacity
+
     def load(self, now: float) -> messages.Load:
         """Return the load of the target, as sent with each reply."""
         return messages.Load(
@@ -150,7 +160,7 @@
             phase=phase,
             incarnation=self.target.incarnation,
             service=self.ctx.identity.service,
-            slots=self.limit,
+            slots=max(1, int(self.capacity)),
             warmup_s=max(0.0, self.target.cold_until - now),
             version=self.ctx.version,
         )
@@ -187,7 +197,7 @@
             self.costs.slot_price.add_offered(service_time_s)
         if suspect is not None:
             self.queue.add_suspect(now, req, suspect)
-        elif self.runs.has_free_slot and not self.waiting:
+        elif self.runs.may_start(now) and not self.waiting:
             self.runs.start(now, req)
         else:
             self.queue.add(now, req)
@@ -294,9 +304,11 @@
             self.retry_budget.count_retry(now)
 
     def _update_price(self, now: float) -> None:
+        # Only if no other target has room, the rate limit is a shortage of the service.
+        limit = self.capacity if self.rate_limit.service_limited else self.limit
         self.shedder.update_price(
             now,
-            limit=self.limit,
+            limit=limit,
             running=len(self.runs),
             waiting_s=self.waiting.service_time_s,
         )
@@ -377,9 +389,13 @@
     def _target_opened(self, now: float) -> None:
         """Announce that the target accepts requests."""
         self.suspects.incarnation_started()
-        self.rate_limit.target_opened(
-            incarnations.target_id_of(self.target.incarnation)
-        )
+        target_id = incarnations.target_id_of(self.target.incarnation)
+        self.rate_limit.target_opened(now, target_id)
+        self.announce(now)
+
+    def _rate_limit_changed(self, now: float) -> None:
+        """Announce the rate limit, and the capacity that follows from it."""
+        self.announce_rate_limit(now)
         self.announce(now)
 
     def _target_closed(self, now: float, reason: messages.Reason) -> None:
--- a/ferrydeck/mesh/inbound/load_shedding.py
+++ b/ferrydeck/mesh/inbound/load_shedding.py
@@ -63,7 +63,7 @@
         return price
 
     def update_price(
-        self, now: float, *, limit: int, running: int, waiting_s: float
+        self, now: float, *, limit: float, running: int, waiting_s: float
     ) -> None:
         """Update the price of the local target if it is due, and log a price above 0.
 
@@ -83,7 +83,7 @@
             offered=round(price.mean_load, 2),
             waiting_s=round(waiting_s / limit, 3),
             running=running,
-            limit=limit,
+            limit=round(limit, 2),
             mean_hold_s=round(self.costs.mean_service_time_s, 3),
         )
 
--- a/ferrydeck/mesh/inbound/pricing.py
+++ b/ferrydeck/mesh/inbound/pricing.py
@@ -80,7 +80,7 @@
         """Add the expected service time of a request to the offered load, seconds."""
         self._offered_s += service_time_s
 
-    def update(self, now: float, slots: int, waiting_s: float) -> bool:
+    def update(self, now: float, slots: float, waiting_s: float) -> bool:
         """Update the price if the interval has elapsed; return whether it was updated.
 
         `waiting_s` is the slot time of the queued requests, seconds.
@@ -99,7 +99,7 @@
         self._history.append((now, self.value))
         return True
 
-    def _change(self, slots: int, waiting_s: float) -> float:
+    def _change(self, slots: float, waiting_s: float) -> float:
         """Return the correction of the mean recent price."""
         load = self.mean_load if waiting_s else min(MAX_IDLE_LOAD, self.mean_load)
         excess_wait_s = max(0.0, waiting_s / slots - TOLERATED_WAIT_S)
--- a/ferrydeck/mesh/inbound/request_queue.py
+++ b/ferrydeck/mesh/inbound/request_queue.py
@@ -54,13 +54,22 @@
     """Queue length, including this request."""
     limit: int
     """Maximum number of concurrent runs."""
+    rate_limit_waiting: int | None = None
+    """Maximum queue length by the rate limit of the target; `None` without a limit."""
+
+    @property
+    def max_waiting(self) -> int:
+        """Maximum queue length."""
+        by_slots = MAX_WAITING_PER_SLOT * self.limit
+        by_rate = self.rate_limit_waiting
+        return by_slots if by_rate is None else min(by_slots, by_rate)
 
 
 def decide(inputs: Inputs) -> Decision:
     """Return the queueing decision for a request."""
     if inputs.wait_s > inputs.max_wait_s:
         return Decision.DROPPED
-    if inputs.waiting > MAX_WAITING_PER_SLOT * inputs.limit:
+    if inputs.waiting > inputs.max_waiting:
         return Decision.DISPLACES
     return Decision.WAITS
 
@@ -79,17 +88,17 @@
     def add(self, now: float, req: inbound_request.InboundRequest) -> None:
         """Queue a request; it or another one may be dropped."""
         costs = self.runs.costs
-        limit = self.runs.limit
         service_time_s = costs.service_time_s(req.forward.route)
-        wait_s = self.waiting.ahead_s(req.priority, service_time_s) / limit
+        ahead_s = self.waiting.ahead_s(req.priority, service_time_s)
         by_time = self.ctx.switches.weigh_slot_time
         weight_s = service_time_s if by_time else costs.mean_service_time_s
         self.waiting.push(req.priority, req, weight_s)
         inputs = Inputs(
-            wait_s=wait_s,
+            wait_s=ahead_s / self.runs.capacity,
             max_wait_s=req.start_by - now,
             waiting=len(self.waiting),
-            limit=limit,
+            limit=self.runs.limit,
+            rate_limit_waiting=self.runs.rate_limit.max_waiting(),
         )
         match decide(inputs):
             case Decision.DROPPED:
@@ -121,9 +130,9 @@
     def start_next(self, now: float) -> None:
         """Start queued requests while slots are free, suspects first."""
         isolation = self.suspects.isolation
-        while self.runs.has_free_slot and (req := isolation.pop_next()) is not None:
+        while self.runs.may_start(now) and (req := isolation.pop_next()) is not None:
             self._start(now, req)
-        while self.waiting and self.runs.has_free_slot:
+        while self.waiting and self.runs.may_start(now):
             req = self.waiting.pop()
             record = self.suspects.find_suspect(now, req.forward)
             if record is not None:
@@ -167,7 +176,9 @@
     def _drop(self, now: float, req: inbound_request.InboundRequest) -> None:
         self.waiting.remove(req.priority, req)
         self.runs.forget(req)
-        self.results.send_rejection(now, req, messages.Reason.OVERLOAD)
+        limited = self.runs.has_free_slot and not self.runs.may_start(now)
+        reason = messages.Reason.RATE_LIMIT if limited else messages.Reason.OVERLOAD
+        self.results.send_rejection(now, req, reason)
 
     def _set_timer(self, now: float) -> None:
         queued = self.waiting or self.suspects.isolation.waiting
--- a/ferrydeck/mesh/inbound/results.py
+++ b/ferrydeck/mesh/inbound/results.py
@@ -151,7 +151,7 @@
                 service_time_s=self.shedder.costs.service_time_s(req.forward.route),
                 objective_s=req.forward.objective_s,
                 waiting_s=self.waiting.service_time_s,
-                limit=self.runs.limit,
+                capacity=self.runs.capacity,
                 random_value=self.ctx.rng.random(),
             )
         )
--- a/ferrydeck/mesh/inbound/retry_after.py
+++ b/ferrydeck/mesh/inbound/retry_after.py
@@ -37,8 +37,8 @@
     """Latency objective of the route, seconds."""
     waiting_s: float
     """Slot time of the queued requests, seconds."""
-    limit: int
-    """Maximum number of concurrent runs."""
+    capacity: float
+    """Concurrent runs that the target sustains."""
     random_value: float
     """A random number from 0 to 1."""
 
@@ -50,7 +50,7 @@
     time, so the caller gets the latest one at which an answer can still meet the
     latency objective.
     """
-    delay_s = (inputs.waiting_s + inputs.service_time_s) / inputs.limit
+    delay_s = (inputs.waiting_s + inputs.service_time_s) / inputs.capacity
     if inputs.reason is messages.Reason.SHED:
         on_time_s = inputs.objective_s - inputs.service_time_s - RETRY_MARGIN_S
         delay_s = max(MIN_SHED_RETRY_AFTER_S, on_time_s / (MIN_JITTER + JITTER_RANGE))
--- a/ferrydeck/mesh/inbound/runs.py
+++ b/ferrydeck/mesh/inbound/runs.py
@@ -10,7 +10,13 @@
 import attrs
 
 from ferrydeck.mesh import context, effects, incarnations
-from ferrydeck.mesh.inbound import inbound_request, pricing, retry_budget, target_watch
+from ferrydeck.mesh.inbound import (
+    inbound_request,
+    pricing,
+    rate_limit,
+    retry_budget,
+    target_watch,
+)
 from ferrydeck.mesh.poison import isolation
 
 USED_SLOTS_RATIO = 0.95
@@ -28,6 +34,7 @@
     target: target_watch.TargetWatch
     costs: pricing.Costs
     retry_budget: retry_budget.RetryBudget
+    rate_limit: rate_limit.RateLimit
     isolation: isolation.IsolationQueue
     by_dispatch: dict[int, inbound_request.InboundRequest] = attrs.Factory(dict)
     """The runs at the target by dispatch number, the oldest first."""
@@ -51,11 +58,20 @@
         slots = self.target.slots
         return max(1, int(USED_SLOTS_RATIO * slots)) if slots else DEFAULT_SLOTS
 
+    @property
+    def capacity(self) -> float:
+        """Concurrent runs that the slots and the rate limit of the target sustain."""
+        return self.rate_limit.capacity(self.limit, self.costs.mean_service_time_s)
+
     @property
     def has_free_slot(self) -> bool:
-        """Whether another request may run."""
+        """Whether a slot of the target is free."""
         return len(self.by_dispatch) < self.limit
 
+    def may_start(self, now: float) -> bool:
+        """Return whether another request may run."""
+        return self.has_free_slot and self.rate_limit.may_start(now)
+
     def admit(self, req: inbound_request.InboundRequest) -> None:
         """Add a request that will run or be queued."""
         self._admitted[req.link, req.forward.number] = req
@@ -91,6 +107,7 @@
         req.expected_calls = self.costs.expected_calls(forward.route)
         self.retry_budget.count_dispatch(now)
         self.started += 1
+        self.rate_limit.count_start(now)
         self.by_dispatch[req.dispatch] = req
         self._by_request_id[forward.request_id] = req
         self.ctx.emit(
--- a/ferrydeck/mesh/members/incoming_links.py
+++ b/ferrydeck/mesh/members/incoming_links.py
@@ -18,6 +18,8 @@
     box: str
     address: str
     """The address at which that daemon accepts links."""
+    protocol: int
+    """Protocol version of that daemon."""
     min_clock_difference_s: float = float("inf")
     """The least difference seen between both clocks, including the delay, seconds."""
 
@@ -37,7 +39,9 @@
 
     def add(self, now: float, link_id: int, hello: messages.Hello) -> None:
         """Add a link by the `Hello` that the other daemon sent on it."""
-        link = IncomingLink(box=hello.box, address=hello.address)
+        link = IncomingLink(
+            box=hello.box, address=hello.address, protocol=hello.protocol
+        )
         link.excess_delay_s(now, hello.sent_s)
         self.by_id[link_id] = link
 
@@ -49,7 +53,8 @@
         """Send a message on one link."""
         self.ctx.emit(effects.SendIncoming(link=link_id, message=message))
 
-    def broadcast(self, message: messages.AnyMessage) -> None:
-        """Send a message on all links."""
-        for link_id in self.by_id:
-            self.send(link_id, message)
+    def broadcast(self, message: messages.AnyMessage, *, min_protocol: int = 0) -> None:
+        """Send a message on all links to daemons of a protocol version or later."""
+        for link_id, link in self.by_id.items():
+            if link.protocol >= min_protocol:
+                self.send(link_id, message)
--- a/ferrydeck/mesh/members/peer_table.py
+++ b/ferrydeck/mesh/members/peer_table.py
@@ -98,6 +98,14 @@
         """
         return sum(peer.service == service for peer in self.by_address.values())
 
+    def all_limited(self, service: str) -> bool:
+        """Return whether each daemon that accepts requests for a service is limited."""
+        return all(
+            peer.rate_limit is not None
+            for peer in self.by_address.values()
+            if peer.service == service and peer.accepts_requests
+        )
+
     def data_centre_rank(self) -> int:
         """Return how many linked daemons of this data centre precede this one."""
         own = self.ctx.identity
@@ -162,6 +170,9 @@
             departed=self.departed_incarnations(peer.box),
         )
         self.send(now, peer, hello)
+        known = peer.protocol_version >= messages.MIN_RATE_LIMIT_PROTOCOL
+        if known and peer.rate_limit is not None:
+            self.send(now, peer, peer.rate_limit)
 
     def link_down(self, now: float, address: str) -> peers.Peer | None:
         """Mark a link as down; return its daemon."""
--- a/ferrydeck/mesh/members/peers.py
+++ b/ferrydeck/mesh/members/peers.py
@@ -67,6 +67,10 @@
     """Service time of its target by the newest report; 0 if unknown."""
     reported_failure_ratio: float = 0.0
     """Ratio of requests that its target failed or rejected, by the newest report."""
+    rate_limit: messages.RateLimit | None = None
+    """The rate limit of its target; `None` without one. Kept while the link is down."""
+    rate_limited_until: float = 0.0
+    """Until when its target accepts no request, as it has just rejected one."""
 
     @property
     def idle(self) -> bool:
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -14,10 +14,12 @@
 from ferrydeck.mesh.inbound import price_reports
 from ferrydeck.mesh.teams import quota_reports
 
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 8
 """Protocol version that `Hello` announces."""
 MIN_RETRY_PROTOCOL = 7
 """The first protocol version that supports `RetryCounts` and `Retry.REJECTED`."""
+MIN_RATE_LIMIT_PROTOCOL = 8
+"""The first protocol version that supports `RateLimit`."""
 Fields = list[tuple[str, str]]
 """Header fields in the order received."""
 
@@ -42,6 +44,8 @@
     WRONG_INCARNATION = "instance"
     """Another incarnation of the target is now at that address."""
     OVERLOAD = "overload"
+    RATE_LIMIT = "rate-limit"
+    """The target accepts no more requests a second."""
     SHED = "pressure"
     """Too many requests of the route fail at services that the target calls."""
     EXPIRED = "expired"
@@ -369,6 +373,19 @@
     retries: list[int]
 
 
+class RateLimit(Message, tag=23):
+    """The rate that a target accepts.
+
+    A daemon sends that of its target on the links that others dialled. On a link that
+    it dialled, it sends what the receiver had announced before, which a restarted
+    receiver no longer knows.
+    """
+
+    target_id: str
+    rate_per_s: float
+    """Requests a second; negative without a limit."""
+
+
 AnyMessage = (
     TargetState
     | Hello
@@ -392,6 +409,7 @@
     | TeamGrants
     | SuspectReports
     | RetryCounts
+    | RateLimit
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/ferrydeck/mesh/outbound/balancing.py
+++ b/ferrydeck/mesh/outbound/balancing.py
@@ -192,7 +192,7 @@
     def _local_score(self, now: float, group: TargetGroup) -> float:
         inbound = self.inbound
         return self._total_score(
-            inbound.busy / inbound.limit,
+            inbound.busy / inbound.capacity,
             False,
             now < inbound.target.cold_until,
             inbound.service_time_ms,
@@ -201,7 +201,8 @@
         )
 
     def _score(self, now: float, peer: peers.Peer, group: TargetGroup) -> float:
-        return self._total_score(
+        full = scoring.RATE_LIMIT_PENALTY if now < peer.rate_limited_until else 0.0
+        return full + self._total_score(
             peer.estimated_in_flight(now) / max(1, peer.target_state.slots),
             peer.data_centre != self.ctx.identity.data_centre,
             now < peer.cold_until,
--- a/ferrydeck/mesh/outbound/scoring.py
+++ b/ferrydeck/mesh/outbound/scoring.py
@@ -27,6 +27,8 @@
 else tells slow targets from fast ones."""
 MAX_SLOW_PENALTY = 0.6
 """Maximum penalty for a slow target, equal to `FAR_PENALTY`."""
+RATE_LIMIT_PENALTY = 10.0
+"""Penalty for a target that accepts no request at present; above any other score."""
 MAX_JITTER = 0.05
 """Maximum random addition, which spreads requests over equal targets."""
 
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -117,7 +117,7 @@
                 service_time_s=0.15,
                 objective_s=1.5,
                 waiting_s=1.85,
-                limit=10,
+                capacity=10,
                 random_value=random_value,
             )
         )
