A target that leaves by its answers alone gets no more requests (DRAIN)

What was seen: with Server-Leaving: 1 in its answers and heartbeats that still say ready, a target went on getting requests.

Change: the daemon beside the target closes for good for the incarnation whose answer, to a request or to a health check, says that it leaves. It announces that on each link before the answer goes back, so that every box which passes such an answer on knows, and gives it back to a daemon that starts, by the list of departed incarnations.

--- a/ferrydeck/mesh/events.py
+++ b/ferrydeck/mesh/events.py
@@ -113,6 +113,8 @@
     """Requests a second that the target accepts; `None` if it states no limit."""
     invalid_rate_limit: str = ""
     """The stated limit if it is not a decimal number."""
+    leaving: bool = False
+    """Whether the target states that it is leaving."""
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -158,6 +160,8 @@
     answered: bool = True
     """Whether there was an answer; a lost connection says nothing about the health of
     the target."""
+    leaving: bool = False
+    """Whether the target states that it is leaving."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -253,7 +253,7 @@
             return
         self.runs.answered_at = now
         facts = event.facts
-        self._read_rate_limit(now, req, facts)
+        self._read_statements(now, req, facts)
         if facts.not_run:
             self._target_rejected(now, req, facts)
             return
@@ -341,12 +341,16 @@
             notice_stalled=self.ctx.switches.notice_stalled,
         )
 
-    def _read_rate_limit(
+    def _read_statements(
         self, now: float, req: inbound_request.InboundRequest, facts: events.AnswerFacts
     ) -> None:
-        target_id = rate_limit.target_id_of(req.forward.incarnation, facts)
-        if target_id is not None:
-            self.rate_limit.answer_received(now, target_id, req.started_at, facts)
+        """Apply what the target states about itself, before its answer is passed on."""
+        target_id = incarnations.target_id_of(req.forward.incarnation)
+        if facts.target_id not in ("", target_id):
+            return
+        self.rate_limit.answer_received(now, target_id, req.started_at, facts)
+        if facts.leaving:
+            self.target.leaving_stated(now, target_id)
 
     def _end_answered(
         self, now: float, req: inbound_request.InboundRequest, *, full: bool
--- a/ferrydeck/mesh/inbound/rate_limit.py
+++ b/ferrydeck/mesh/inbound/rate_limit.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from ferrydeck.mesh import context, events, incarnations
+from ferrydeck.mesh import context, events
 
 BURST_S = 0.1
 """Time for which unused requests accumulate, seconds."""
@@ -149,12 +149,6 @@
         self.on_change(now)
 
 
-def target_id_of(run_incarnation: str, facts: events.AnswerFacts) -> str | None:
-    """Return the id of the expected target, or `None` if another one answered."""
-    expected = incarnations.target_id_of(run_incarnation)
-    return expected if facts.target_id in ("", expected) else None
-
-
 def _differs(rate_per_s: float | None, old: float | None) -> bool:
     """Return whether two rates differ by more than `MIN_RATE_CHANGE`."""
     if rate_per_s is None or old is None:
--- a/ferrydeck/mesh/inbound/target_watch.py
+++ b/ferrydeck/mesh/inbound/target_watch.py
@@ -110,8 +110,11 @@
     def probe_answered(self, now: float, event: events.ProbeAnswered) -> None:
         """Open a target that is healthy, not leaving, and has stated its id."""
         self._probing = False
+        if event.leaving:
+            self.leaving_stated(now, event.target_id)
         if (
             not event.healthy
+            or event.leaving
             or not event.target_id
             or self._may_have_left(event.target_id)
         ):
@@ -125,6 +128,11 @@
         newest = self._newest.get(event.target_id, incarnations.UNKNOWN)
         self._open(now, incarnations.name(event.target_id, newest), "probe")
 
+    def leaving_stated(self, now: float, target_id: str) -> None:
+        """Close the target for good if its answer states that it is leaving."""
+        if target_id and target_id == incarnations.target_id_of(self.incarnation):
+            self._leave(now, self.incarnation, "answer")
+
     def heartbeat(self, now: float, heartbeat: events.Heartbeat) -> HeartbeatResult:
         """Process a heartbeat of the target and return its effect."""
         newest = self._newest.get(heartbeat.target_id, incarnations.UNKNOWN)
--- a/ferrydeck/mesh/net/target.py
+++ b/ferrydeck/mesh/net/target.py
@@ -110,5 +110,6 @@
                 healthy=event.status == 200,
                 target_id=facts.target_id,
                 slots=facts.load.slots if facts.load else 0,
+                leaving=facts.leaving,
             )
         )
--- a/ferrydeck/platform/headers.py
+++ b/ferrydeck/platform/headers.py
@@ -38,6 +38,8 @@
 MISDIRECTED = 421
 """Status of a target that is not the expected one and did not run the request."""
 
+LEAVING = "server-leaving"
+"""Has the value 1 in all answers of a target that is leaving."""
 DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 """A decimal number without sign and exponent."""
 
@@ -138,6 +140,7 @@
         load=_parse_load(values.get(LOAD, "")),
         rate_limit=rate_limit,
         invalid_rate_limit=invalid,
+        leaving=values.get(LEAVING, "").strip() == "1",
     )
 
 
--- a/ferrydeck/standins/app_server.py
+++ b/ferrydeck/standins/app_server.py
@@ -74,6 +74,8 @@
         self.report_interval_s = report_interval_s
         self.fault_mode = FaultMode.WELL
         self.leaving = False
+        self.says_leaving = False
+        """Whether all answers state that it leaves, whatever its reports state."""
         self.rate_limit = ""
         """The rate limit in all answers; empty for none."""
         self.sequence = 0
@@ -104,6 +106,8 @@
                 return
             case "/standin/work":
                 self.work_s = float(req.body)
+            case "/standin/leave":
+                self.says_leaving = True
             case "/standin/limit":
                 self.rate_limit = req.body.decode()
         ran = [one.request_id for one in self.executions]
@@ -180,6 +184,8 @@
             "x-instance-id": self.instance,
             "x-server-load": f"{self.running_count},0,{self.slots}",
         }
+        if self.leaving or self.says_leaving:
+            fields_sent["server-leaving"] = "1"
         if self.rate_limit:
             fields_sent["server-limit"] = self.rate_limit
         if not_run:
--- a/tests/mesh/simulation/__init__.py
+++ b/tests/mesh/simulation/__init__.py
@@ -8,6 +8,6 @@
 
 from tests.mesh.simulation.box import Box, Calls
 from tests.mesh.simulation.callers import Request
-from tests.mesh.simulation.world import World, violations
+from tests.mesh.simulation.world import World, record_of, violations
 
-__all__ = ["Box", "Calls", "Request", "World", "violations"]
+__all__ = ["Box", "Calls", "Request", "World", "record_of", "violations"]
--- a/tests/mesh/simulation/box.py
+++ b/tests/mesh/simulation/box.py
@@ -40,6 +40,8 @@
     sheds: bool = False
     shed_ratio: float = 0.0
     fails: bool = False
+    says_leaving: bool = False
+    """Whether its answers state that it leaves, whatever its heartbeats state."""
     rate_limit: float | None = None
     """Requests a second that it states to accept; `None` for no limit."""
     calls: tuple[Calls, ...] = ()
--- a/tests/mesh/simulation/targets.py
+++ b/tests/mesh/simulation/targets.py
@@ -7,6 +7,7 @@
 import attrs
 
 from ferrydeck.mesh import effects, events
+from tests import statements
 from tests.mesh.simulation import box as boxes
 from tests.mesh.simulation import callers, timeline
 
@@ -33,17 +34,6 @@
     path: str = ""
 
 
-@attrs.define(kw_only=True, frozen=True)
-class Statement:
-    """What a target stated about itself in an answer."""
-
-    at: float
-    target_id: str
-    rate_limit: float | None
-    origin: str
-    """Box at which the request began; empty if unknown."""
-
-
 @attrs.define(kw_only=True)
 class Execution:
     """A run of a request in progress."""
@@ -75,7 +65,7 @@
     call_host: str
     """Host of the calls that targets make."""
     runs: list[Run] = attrs.Factory(list)
-    statements: list[Statement] = attrs.Factory(list)
+    statements: list[statements.Statement] = attrs.Factory(list)
     """The statements in all answers, in the order sent."""
     acks: dict[int, Callable[[bool], None]] = attrs.Factory(dict)
     """Callbacks for heartbeat acknowledgements, by connection."""
@@ -293,7 +283,9 @@
         dispatch, request_id = effect.dispatch, effect.request_id
         target = box.target
         if facts.target_id == target.target_id:
-            facts = attrs.evolve(facts, rate_limit=target.rate_limit)
+            facts = attrs.evolve(
+                facts, rate_limit=target.rate_limit, leaving=target.says_leaving
+            )
             self._record_statement(target, request_id)
         answered = events.TargetAnswered(
             dispatch=dispatch,
@@ -309,11 +301,12 @@
     def _record_statement(self, target: boxes.Target, request_id: str) -> None:
         req = self.callers.requests.get(request_id)
         self.statements.append(
-            Statement(
+            statements.Statement(
                 at=self.timeline.now,
                 target_id=target.target_id,
-                rate_limit=target.rate_limit,
                 origin=req.box if req is not None else "",
+                rate_limit=target.rate_limit,
+                leaving=target.says_leaving,
             )
         )
 
--- a/tests/mesh/simulation/world.py
+++ b/tests/mesh/simulation/world.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ferrydeck.mesh import context, core, effects, events, switches
+from tests import statements
 from tests.mesh.simulation import box as boxes
 from tests.mesh.simulation import callers, links, store, targets, timeline
 
@@ -30,6 +31,8 @@
     boxes: dict[str, boxes.Box] = attrs.Factory(dict)
     decisions: list[tuple[float, str, effects.Decision]] = attrs.Factory(list)
     """Decisions of daemons, with time and box name."""
+    strikes: list[tuple[str, float]] = attrs.Factory(list)
+    """Boxes whose daemons were killed, frozen or cut off, with the time."""
     callers: callers.Callers = attrs.field(init=False)
     links: links.Links = attrs.field(init=False)
     store: store.Store = attrs.field(init=False)
@@ -69,6 +72,7 @@
 
     def kill(self, box: boxes.Box, down_s: float = 0.5) -> None:
         """Kill a daemon and restart it after `down_s`."""
+        self.strikes.append((box.name, self.now))
         box.up = False
         box.incarnation += 1
         self.callers.daemon_killed(box)
@@ -179,6 +183,25 @@
             self.links.drop(box, other)
 
 
+def record_of(world: World) -> statements.Record:
+    """Return what targets stated, and which requests reached them."""
+    return statements.Record(
+        statements=world.targets.statements,
+        arrivals=[
+            statements.Arrival(
+                at=run.at,
+                target_id=run.target_id,
+                origin=req.box,
+                request_id=run.request_id,
+                sent_at=req.at,
+            )
+            for run in world.targets.runs
+            if (req := world.callers.requests.get(run.request_id)) is not None
+        ],
+        strikes=world.strikes,
+    )
+
+
 def violations(world: World) -> list[str]:
     """Return violations of the guarantees to callers and targets."""
     found = []
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import pytest
+
+from tests import statements
 from tests.mesh import samples, simulation
 
 
@@ -103,3 +106,47 @@
     )
     world.run(0.1)
     assert leaving.core.inbound.target.phase != "ready"
+
+
+def send_at_all(world, seconds: float) -> list:
+    """Send requests at all boxes that are up, which keep the targets in use."""
+    requests = []
+    for _ in range(int(seconds / 0.02)):
+        requests += [samples.ask(world, name) for name in up_boxes(world)]
+        world.run(0.02)
+    return requests
+
+
+def up_boxes(world) -> list[str]:
+    return [name for name, box in world.boxes.items() if box.up]
+
+
+@pytest.mark.parametrize("kills", [0, 2])
+def test_a_target_that_leaves_by_its_answers_alone_gets_no_requests(kills):
+    world = samples.world_of(4, data_centres=2, work_s=0.05)
+    send_at_all(world, 1.0)
+    leaving = world.boxes["box-1"]
+    leaving.target.says_leaving = True
+    requests = send_at_all(world, 4.0)
+    for _ in range(kills):
+        # Its heartbeats and health checks say that it is ready.
+        world.kill(leaving, 0.3)
+        requests += send_at_all(world, 4.0)
+    world.run(2)
+    assert statements.sent_after_leaving(simulation.record_of(world)) == []
+    kept = [one for one in requests if one.disconnected_at is None]
+    assert samples.statuses(kept) == [200] * len(kept)
+
+
+def test_the_next_target_of_a_box_takes_work_after_one_that_left_by_its_answers():
+    world = samples.world_of(3, work_s=0.05)
+    box = world.boxes["box-1"]
+    box.target.says_leaving = True
+    send_at_all(world, 2.0)
+    box.target.says_leaving = False
+    world.targets.crash(box, 0.5)
+    send_at_all(world, 3.0)
+    since = world.now
+    send_at_all(world, 2.0)
+    record = simulation.record_of(world)
+    assert record.count(box.target.target_id, since, world.now) > 50
--- a/tests/mesh/test_rate_limit.py
+++ b/tests/mesh/test_rate_limit.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.mesh import samples, simulation, stated_limits
+from tests import statements
+from tests.mesh import samples, simulation
 
 PER_S = 240
 RATE = 8.0
@@ -30,21 +31,23 @@
     return requests
 
 
-def over_limit(world: simulation.World, *excused: str) -> list[str]:
-    return stated_limits.over_limit(world, frozenset(excused))
+def over_limit(world: simulation.World) -> list[str]:
+    return statements.over_limit(simulation.record_of(world))
+
+
+def count(world: simulation.World, target_id: str, since: float) -> int:
+    return simulation.record_of(world).count(target_id, since, world.now)
 
 
 def test_a_target_gets_what_it_accepts_and_the_others_take_the_rest():
     world = limited_world()
     since = world.now + 1.0
     requests = send(world, 12.0)
-    until = world.now
+    used = count(world, world.boxes["box-0"].target.target_id, since)
+    assert used > 0.75 * RATE * (world.now - since)
     world.run(2)
     assert over_limit(world) == []
     assert samples.statuses(requests) == [200] * len(requests)
-    target_id = world.boxes["box-0"].target.target_id
-    used = stated_limits.requests_in(world, target_id, since, until)
-    assert used > 0.75 * RATE * (until - since)
 
 
 @pytest.mark.parametrize("down_s", [0.2, 1.0])
@@ -55,7 +58,7 @@
         world.kill(world.boxes["box-0"], down_s)
         send(world, 2.5)
     world.run(2)
-    assert over_limit(world, "box-0") == []
+    assert over_limit(world) == []
 
 
 @pytest.mark.parametrize("rate", [0.0, 0.3])
@@ -68,7 +71,7 @@
     send(world, 6.0)
     since = world.now
     send(world, 2.0)
-    used = stated_limits.requests_in(world, box.target.target_id, since, world.now)
+    used = count(world, box.target.target_id, since)
     assert used > 0.5 * PER_S / len(world.boxes) * 2.0
 
 
@@ -112,5 +115,5 @@
     send(world, 2.0)
     since = world.now
     send(world, 12.0)
-    used = stated_limits.requests_in(world, box.target.target_id, since, world.now)
+    used = count(world, box.target.target_id, since)
     assert used > 2 * RATE * 12.0
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -312,3 +312,9 @@
 ):
     facts = headers.read_answer(200, [("server-limit", value) for value in values])
     assert (facts.rate_limit, facts.invalid_rate_limit) == (rate_limit, invalid)
+
+
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False), ("", False)])
+def test_a_target_leaves_by_an_answer_that_says_so(value, leaving):
+    assert headers.read_answer(200, [("server-leaving", value)]).leaving is leaving
+    assert not headers.read_answer(200, []).leaving
