Random faults while targets state limits or leave by their answers

The test of a restart did not need the limit that the other boxes give back: runs of 20 ms state it again before many requests come.

--- a/tests/mesh/faults.py
+++ b/tests/mesh/faults.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ferrydeck.mesh import policy
+from tests import statements as checks
 from tests.mesh import samples, simulation
 from tests.mesh.simulation import links
 
@@ -44,6 +45,8 @@
     history: list[str] = attrs.Factory(list)
     drained_at: dict[str, float] = attrs.Factory(dict)
     """Acknowledgement time of draining targets, by target id."""
+    statements: bool = False
+    """Whether targets also state limits, and that they leave, in their answers."""
     _version: int = 4
 
     def inject_fault(self) -> None:
@@ -63,6 +66,8 @@
             self._fail,
             self._stop,
         ]
+        if self.statements:
+            kinds += [self._state_limit] * 4 + [self._state_leaving] * 2
         kind = self.rng.choice(kinds)
         self.history.append(f"{self.world.now:.2f} {kind.__name__[1:]}")
         kind()
@@ -77,6 +82,7 @@
             box.target.loses_answers = False
             box.target.sheds = False
             box.target.fails = False
+            box.target.rate_limit = None
 
     def _box(self) -> simulation.Box | None:
         up = [box for box in self.world.boxes.values() if box.up]
@@ -101,6 +107,7 @@
     def _freeze(self) -> None:
         if (box := self._box()) is not None:
             box.frozen_until = self.world.now + self.rng.uniform(0.2, 4.0)
+            self.world.strikes.append((box.name, self.world.now))
 
     def _cut_data_centre(self) -> None:
         data_centre = self.rng.choice(
@@ -111,10 +118,16 @@
         def outbound_only(one: simulation.Box, other: simulation.Box) -> bool:
             return one.data_centre == data_centre != other.data_centre
 
+        self.world.strikes += [
+            (box.name, self.world.now)
+            for box in self.world.boxes.values()
+            if box.data_centre == data_centre
+        ]
         self._cut(outbound_only if one_way else links.isolate_data_centre(data_centre))
 
     def _cut_box(self) -> None:
         if (box := self._box()) is not None:
+            self.world.strikes.append((box.name, self.world.now))
             self._cut(lambda one, other: box in (one, other))
 
     def _cut(self, cut: object) -> None:
@@ -165,6 +178,31 @@
         if (box := self._box()) is not None and not box.target.draining:
             self.world.targets.replace(box)
 
+    def _state_limit(self) -> None:
+        """Have a target state a limit that changes once."""
+        box = self._box()
+        if box is None:
+            return
+        target = box.target
+        target.rate_limit = self.rng.choice((0.0, 0.5, 3.0, 8.0, 15.0))
+        changed = self.rng.choice((1.0, 6.0, 20.0))
+        change_s = self.rng.uniform(4.0, 8.0)
+
+        def state(rate: float | None) -> None:
+            target.rate_limit = rate
+
+        self.world.after(change_s, lambda: state(changed))
+        self.world.after(change_s + self.rng.uniform(1.0, 8.0), lambda: state(None))
+
+    def _state_leaving(self) -> None:
+        """Have a target leave by its answers alone."""
+        box = self._box()
+        leaving = [one for one in self.world.boxes.values() if one.target.leaving]
+        if box is None or len(leaving) > 2:
+            return
+        box.target.says_leaving = True
+        self.world.after(6.0, lambda: self.world.targets.replace(box))
+
     def _lose_answers(self) -> None:
         self._target_fault("loses_answers")
 
@@ -185,7 +223,9 @@
         )
 
 
-def run_schedule(seed: int, *, boxes: int = 6, seconds: float = 20.0) -> ScheduleResult:
+def run_schedule(
+    seed: int, *, boxes: int = 6, seconds: float = 20.0, statements: bool = False
+) -> ScheduleResult:
     """Run the fault schedule of a seed and check the invariants."""
     rng = random.Random(seed)
     world = simulation.World(seed=seed)
@@ -193,7 +233,7 @@
     for index in range(boxes):
         world.add_box(f"box-{index}", f"hall-{index % 3}", "desk", slots=12)
     world.run(2.0)
-    schedule = Schedule(world=world, rng=rng)
+    schedule = Schedule(world=world, rng=rng, statements=statements)
     next_fault_at = world.now + 1.0
     faults_end = world.now + seconds
     while world.now < faults_end + RECOVERY_S:
@@ -231,6 +271,8 @@
     violations += _sent_after_drain(world, schedule)
     violations += _unanswered(world)
     violations += over_budget(world)
+    record = simulation.record_of(world)
+    violations += checks.over_limit(record) + checks.sent_after_leaving(record)
     requests = list(world.callers.requests.values())
     last_sent_at = requests[-1].at
     recent = [one for one in requests if one.at > last_sent_at - 2.0]
--- a/tests/mesh/simulation/box.py
+++ b/tests/mesh/simulation/box.py
@@ -55,6 +55,11 @@
     """Number of crashes of all its incarnations."""
     running: dict[int, simpy.Event] = attrs.Factory(dict)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether its answers state that it leaves."""
+        return self.draining or self.says_leaving
+
     def service_time_s(self, path: str) -> float:
         """Return the mean service time of a run without its calls, seconds."""
         return next(
--- a/tests/mesh/simulation/targets.py
+++ b/tests/mesh/simulation/targets.py
@@ -91,6 +91,8 @@
             started_ms=int(1000 * self.timeline.now) + 1 if old.started_ms else 0,
             up=True,
             draining=False,
+            says_leaving=False,
+            rate_limit=None,
             running={},
         )
 
@@ -284,7 +286,7 @@
         target = box.target
         if facts.target_id == target.target_id:
             facts = attrs.evolve(
-                facts, rate_limit=target.rate_limit, leaving=target.says_leaving
+                facts, rate_limit=target.rate_limit, leaving=target.leaving
             )
             self._record_statement(target, request_id)
         answered = events.TargetAnswered(
@@ -306,7 +308,7 @@
                 target_id=target.target_id,
                 origin=req.box if req is not None else "",
                 rate_limit=target.rate_limit,
-                leaving=target.says_leaving,
+                leaving=target.leaving,
             )
         )
 
--- a/tests/mesh/test_faults.py
+++ b/tests/mesh/test_faults.py
@@ -13,3 +13,11 @@
     assert result.violations == [], result.schedule
     assert result.recovered > 0.95
     assert result.served > 0.5 * result.requests
+
+
+@pytest.mark.parametrize("seed", range(1, 13))
+def test_random_faults_while_targets_state_limits_or_leave(seed):
+    result = faults.run_schedule(seed, statements=True)
+    assert result.violations == [], result.schedule
+    assert result.recovered > 0.95
+    assert result.served > 0.5 * result.requests
--- a/tests/mesh/test_rate_limit.py
+++ b/tests/mesh/test_rate_limit.py
@@ -11,8 +11,10 @@
 RATE = 8.0
 
 
-def limited_world(rate: float = RATE, boxes: int = 6) -> simulation.World:
-    world = samples.world_of(boxes, data_centres=2, work_s=0.02)
+def limited_world(
+    rate: float = RATE, *, work_s: float = 0.02, slots: int = 8
+) -> simulation.World:
+    world = samples.world_of(6, data_centres=2, work_s=work_s, slots=slots)
     send(world, 2.0)
     world.boxes["box-0"].target.rate_limit = rate
     return world
@@ -52,7 +54,8 @@
 
 @pytest.mark.parametrize("down_s", [0.2, 1.0])
 def test_the_limit_holds_when_the_daemon_of_the_target_restarts(down_s):
-    world = limited_world(rate=2.0)
+    # No run ends, and so no answer states the limit, soon after a restart.
+    world = limited_world(rate=2.0, work_s=0.4, slots=64)
     send(world, 5.0)
     for _ in range(3):
         world.kill(world.boxes["box-0"], down_s)
