Soak: servers state limits, or that they leave, in their answers

--statements: limits of 0 to 10 a second for four to nine seconds, and servers that leave by their answers while their reports say ready, beside the other faults; checked against the agreed bounds from what clients and servers saw.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from tests import statements
 from tests.platform import mesh_fleet
 from tests.soak import clients
 
@@ -51,6 +52,8 @@
     crash_paths: list[str]
     """The path of the request that crashed each server."""
     exit_codes: list[tuple[str, int]]
+    link_faults: list[tuple[str, float]] = attrs.Factory(list)
+    """Boxes whose links were struck, with the time."""
 
 
 def executions_of(fleet: mesh_fleet.MeshFleet) -> list[Execution]:
@@ -93,6 +96,7 @@
         errors += _check_request(one, run_counts[one.request_id])
     errors += _check_latency(history)
     errors += _check_drain(history)
+    errors += _check_statements(history)
     errors += _check_policy_order(history)
     errors += _check_final_policy(history)
     errors += _check_lethal(history)
@@ -141,6 +145,39 @@
     ]
 
 
+def _check_statements(history: History) -> list[str]:
+    """Return what servers got beyond what their answers state that they accept."""
+    by_id = {one.request_id: one for one in history.requests}
+    executions = sorted(history.executions, key=lambda one: one.at)
+    answered = [one for one in history.requests if one.instance]
+    record = statements.Record(
+        statements=[
+            statements.Statement(
+                at=one.ended_at,
+                target_id=one.instance,
+                origin=one.box,
+                rate_limit=one.rate_limit,
+                leaving=one.leaving,
+            )
+            for one in sorted(answered, key=lambda one: one.ended_at)
+        ],
+        arrivals=[
+            statements.Arrival(
+                at=one.at,
+                target_id=one.instance,
+                origin=by_id[one.request_id].box,
+                request_id=one.request_id,
+                sent_at=by_id[one.request_id].started_at,
+            )
+            for one in executions
+            if one.request_id in by_id
+        ],
+        strikes=[(box, start) for box, start, _ in history.fault_windows]
+        + history.link_faults,
+    )
+    return statements.over_limit(record) + statements.sent_after_leaving(record)
+
+
 def _check_policy_order(history: History) -> list[str]:
     errors = []
     for name, lines in history.logs.items():
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -32,6 +32,12 @@
     status: int = TIMED_OUT
     ended_at: float = 0.0
     echoed_id: str = ""
+    instance: str = ""
+    """The server that answered; empty for an answer of the daemon."""
+    rate_limit: float | None = None
+    """The limit that the server stated."""
+    leaving: bool = False
+    """Whether the server stated that it leaves."""
     body: bytes = b""
 
     @property
@@ -111,6 +117,10 @@
         fields = dict(line.lower().split(": ", 1) for line in head[1:] if line)
         request.body = await self._reader.readexactly(int(fields["content-length"]))
         request.echoed_id = fields.get("x-attempt-id", "")
+        request.instance = fields.get("x-instance-id", "")
+        if "server-limit" in fields:
+            request.rate_limit = float(fields["server-limit"])
+        request.leaving = fields.get("server-leaving") == "1"
         request.status = int(head[0].split()[1])
         if fields.get("connection") == "close":
             self._disconnect()
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -27,6 +27,7 @@
 MAX_LETHAL_COPIES = 4
 RESTART_POLL_INTERVAL_S = 0.05
 SERVER_MODES = ("shed", "fail", "cut", "unsealed")
+RATE_LIMITS = (0.0, 0.5, 3.0, 10.0)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -57,6 +58,10 @@
     """Whether to send requests that crash the servers that run them."""
     restores: bool = False
     """Whether to restore the store from older snapshots."""
+    statements: bool = False
+    """Whether servers state limits, or that they leave, in their answers."""
+    link_faults: list[tuple[str, float]] = attrs.Factory(list)
+    """Boxes whose links were struck, with the time."""
     _lethal_sent: int = 0
     _tasks: set[asyncio.Task] = attrs.Factory(set)
 
@@ -75,6 +80,8 @@
         node = self.rng.choice(self.nodes)
         extra = [self._send_lethal] * 4 if self.lethal else []
         extra += [self._restore_store] * 3 if self.restores else []
+        if self.statements:
+            extra += [self._state_limit] * 4 + [self._leave_by_answers] * 2
         fault = self.rng.choice(
             [
                 *extra,
@@ -139,16 +146,19 @@
 
     async def _block_links(self, node: Node) -> None:
         flows = self.rng.choice([list(proxy.Flow), [proxy.Flow.IN], [proxy.Flow.OUT]])
+        self.link_faults.append((node.box.name, clock.now()))
         node.links.block(*flows)
         await asyncio.sleep(self.rng.uniform(0.2, 4.0))
         node.links.heal()
 
     async def _delay_links(self, node: Node) -> None:
+        self.link_faults.append((node.box.name, clock.now()))
         node.links.delay_s = self.rng.uniform(0.01, 0.2)
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         node.links.heal()
 
     async def _reset_links(self, node: Node) -> None:
+        self.link_faults.append((node.box.name, clock.now()))
         node.links.reset()
 
     async def _block_store(self, node: Node) -> None:
@@ -202,6 +212,30 @@
         self._start_server(node)
         node.server_busy = False
 
+    async def _state_limit(self, node: Node) -> None:
+        """Have a server state a limit for some time."""
+        if node.server_busy:
+            return
+        node.server_busy = True
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            rate = b"%.1f" % self.rng.choice(RATE_LIMITS)
+            await asyncio.to_thread(node.box.control, "limit", rate)
+            await asyncio.sleep(self.rng.uniform(4.0, 9.0))
+            await asyncio.to_thread(node.box.control, "limit", b"")
+        node.server_busy = False
+
+    async def _leave_by_answers(self, node: Node) -> None:
+        """Have a server leave by its answers alone, and start a new instance."""
+        if node.server_busy:
+            return
+        node.server_busy = True
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            await asyncio.to_thread(node.box.control, "leave")
+        await asyncio.sleep(self.rng.uniform(3.0, 5.0))
+        node.box.server.signal(signal.SIGKILL)
+        self._start_server(node)
+        node.server_busy = False
+
     async def _set_server_mode(self, node: Node) -> None:
         if node.server_busy:
             return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -63,6 +63,7 @@
     *,
     lethal: bool,
     restores: bool,
+    statements: bool,
 ) -> SoakResult:
     """Run one seed with its files in a folder."""
     fleet = mesh_fleet.MeshFleet(folder)
@@ -84,6 +85,7 @@
             nodes=nodes,
             lethal=lethal,
             restores=restores,
+            statements=statements,
         )
         await faults.run(seconds)
         await asyncio.sleep(SETTLE_S)
@@ -113,6 +115,7 @@
         newest_version=faults.version,
         crash_paths=checks.crash_paths(fleet),
         exit_codes=faults.exit_codes,
+        link_faults=faults.link_faults,
     )
     return SoakResult(
         seed=seed,
@@ -137,9 +140,18 @@
     seconds: float,
     lethal: bool = False,
     restores: bool = False,
+    statements: bool = False,
 ) -> SoakResult:
-    """Run one seed, optionally with lethal requests and restores of the store."""
-    coro = run_async(folder, seed, boxes, seconds, lethal=lethal, restores=restores)
+    """Run one seed, optionally with further kinds of faults."""
+    coro = run_async(
+        folder,
+        seed,
+        boxes,
+        seconds,
+        lethal=lethal,
+        restores=restores,
+        statements=statements,
+    )
     return asyncio.run(coro)
 
 
@@ -153,6 +165,11 @@
     parser.add_argument(
         "--restores", action="store_true", help="restore the store from older snapshots"
     )
+    parser.add_argument(
+        "--statements",
+        action="store_true",
+        help="servers state limits, or that they leave, in their answers",
+    )
     parser.add_argument("--keep", type=pathlib.Path, help="folder for logs")
     args = parser.parse_args()
     first, _, last = args.seeds.partition("-")
@@ -168,6 +185,7 @@
             seconds=args.seconds,
             lethal=args.lethal,
             restores=args.restores,
+            statements=args.statements,
         )
         failed += bool(result.violations)
         print(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,11 @@
     check_result(soak.run_seed(tmp_path, 3, boxes=4, seconds=8.0, restores=True))
 
 
+def test_guarantees_hold_while_servers_state_limits_or_leave(tmp_path):
+    result = soak.run_seed(tmp_path, 4, boxes=4, seconds=12.0, statements=True)
+    check_result(result)
+
+
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
 def test_regression_seed_holds(tmp_path, seed):
     check_result(soak.run_seed(tmp_path, seed, boxes=5, seconds=15.0))
