--- a/ferrydeck/mesh/teams/quota.py
+++ b/ferrydeck/mesh/teams/quota.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 import random
 import zlib
@@ -39,6 +40,11 @@
 BUCKET_DRAIN_S = 0.5
 """Time in which the bucket may be emptied, seconds; a shorter one cuts peaks within the
 burst, a longer one lets them go on until the next grant."""
+PEAK_RATIO = 0.45
+"""Part of a window's quota that a team which has used less may use at any rate."""
+PEAK_DRAIN_S = 0.3
+"""Time in which that part may be used up, seconds; usage is reported and a grant takes
+effect within it."""
 REPORT_LAG_S = 0.15
 """Average age of usage when it is reported, seconds, plus the delay of the grant."""
 MIN_CHANGE_RATIO = 0.1
@@ -173,6 +179,20 @@
     sent_at: float = 0.0
     full_sends: int = 0
     """Full grants that are still to be sent."""
+    used: float = 0.0
+    """Requests admitted in the last window."""
+    _admitted: collections.deque[tuple[float, float]] = attrs.Factory(collections.deque)
+    """Times and numbers of the requests admitted in the last window."""
+
+    def add_admitted(self, now: float, count: float) -> None:
+        """Count admitted requests in the window."""
+        self._admitted.append((now, count))
+        self.used += count
+
+    def drop_admitted(self, before: float) -> None:
+        """Drop the requests that were admitted before the window."""
+        while self._admitted and self._admitted[0][0] < before:
+            self.used -= self._admitted.popleft()[1]
 
     def mark_sent(self, now: float, fraction: float) -> None:
         """Record that a grant of this fraction is sent."""
@@ -210,6 +230,7 @@
             self._open(now, team, share, idle=idle)
         account = self._update_account(now, team, share)
         account.tokens -= usage.admitted
+        account.add_admitted(now, usage.admitted)
         account.demand += usage.requested
 
     def due_grants(
@@ -238,7 +259,10 @@
         Usage reported to an earlier coordinator is unknown, and may be up to the quota.
         """
         tokens = _capacity(team, share) if idle else 0.0
-        self.accounts[team.name] = Account(tokens=tokens, updated_at=now)
+        account = Account(tokens=tokens, updated_at=now)
+        self.accounts[team.name] = account
+        if not idle:
+            account.add_admitted(now, self._window_quota(team) * share)
 
     def _update_account(self, now: float, team: keys.Team, share: float) -> Account:
         """Refill a team's bucket, decay its demand, and return its account."""
@@ -249,6 +273,7 @@
         account.tokens = min(capacity, account.tokens + rate * elapsed_s)
         account.demand *= math.exp(-elapsed_s / DEMAND_DECAY_S)
         account.updated_at = now
+        account.drop_admitted(now - self.window_s)
         return account
 
     def _fraction(self, account: Account, team: keys.Team, share: float) -> float:
@@ -257,10 +282,16 @@
         unreported = demand_per_s * account.fraction * REPORT_LAG_S
         tokens = account.tokens - (unreported if account.tokens > 0 else 0.0)
         rate = self._rate(team) * share + tokens / BUCKET_DRAIN_S
+        unused = PEAK_RATIO * self._window_quota(team) * share - account.used
+        rate = max(rate, (unused - unreported) / PEAK_DRAIN_S)
         if rate <= 0:
             return 0.0
         return 1.0 if rate >= demand_per_s else rate / demand_per_s
 
+    def _window_quota(self, team: keys.Team) -> float:
+        """Return the requests that rate and burst allow in a window."""
+        return team.rate_per_s * self.window_s + team.burst
+
     def _rate(self, team: keys.Team) -> float:
         """Return the refill rate of the bucket, requests per second."""
         steady = STEADY_BURST_RATIO * team.burst / self.window_s
--- a/tests/mesh/teams/test_quota.py
+++ b/tests/mesh/teams/test_quota.py
@@ -107,6 +107,15 @@
     assert counts[429] == 0
 
 
+@pytest.mark.parametrize("seed", [2, 16, 18, 26])
+def test_a_peak_after_an_unused_window_is_served(seed):
+    # Guards against 429 while most of the quota of a window is unused.
+    world = world_of(seed=seed)
+    world.run(6.0)
+    counts = count_statuses(send_load(world, 1.5 * RATE, 1.5))
+    assert counts[429] == 0
+
+
 def test_lowered_rate_holds_after_one_window():
     world = world_of()
     send_load(world, 0.9 * RATE, 5.0)
