Core: the two steps of the rate limit have names

Reading the diff: two blocks in the dispatch of messages and in the check of links stopped the reader. No behaviour changes; test_rate_limit, test_faults and test_size passed.

--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -240,10 +240,7 @@
 
     def _check_links(self, now: float) -> None:
         self._update_target_count(now)
-        limit = self.inbound.rate_limit
-        limit.service_limited = limit.rate_per_s is not None and (
-            self.peers.all_limited(self.identity.service)
-        )
+        self._update_service_limited()
         self.retry_exchange.tick(now)
         linked = [peer for peer in self.peers.by_address.values() if peer.in_flight]
         self.peers.check_links(now)
@@ -252,6 +249,13 @@
             if peer.link is peers.LinkState.DOWN:
                 self.outbound.link_down(now, peer)
 
+    def _update_service_limited(self) -> None:
+        """Update whether all targets of the service state a rate limit."""
+        limit = self.inbound.rate_limit
+        own = limit.rate_per_s is not None
+        service = self.identity.service
+        limit.service_limited = own and self.peers.all_limited(service)
+
     def _update_target_count(self, now: float) -> None:
         """Update the number of targets that share the slack of the retry budget.
 
@@ -343,10 +347,8 @@
                 self.heartbeats.on_relay(now, link, message)
             case messages.RetryCounts():
                 self.retry_exchange.received(now, incoming.address, message)
-            case messages.RateLimit(target_id=target_id, rate_per_s=rate_per_s):
-                limit = self.inbound.rate_limit
-                if not limit.peer_reported(now, target_id, rate_per_s):
-                    self.incoming_links.send(link, self._rate_limit())
+            case messages.RateLimit():
+                self._own_rate_limit_received(now, link, message)
             case messages.TeamUsages():
                 self.quota_exchange.usages_received(now, link, message)
             case messages.TeamGrants():
@@ -408,6 +410,16 @@
             self._rate_limit(), min_protocol=messages.MIN_RATE_LIMIT_PROTOCOL
         )
 
+    def _own_rate_limit_received(
+        self, now: float, link: int, message: messages.RateLimit
+    ) -> None:
+        """Apply the limit of this box's target as a peer knows it, or correct it."""
+        applied = self.inbound.rate_limit.peer_reported(
+            now, message.target_id, message.rate_per_s
+        )
+        if not applied:
+            self.incoming_links.send(link, self._rate_limit())
+
     def _rate_limit(self) -> messages.RateLimit:
         limit = self.inbound.rate_limit
         rate_per_s = -1.0 if limit.rate_per_s is None else limit.rate_per_s
--- a/ferrydeck/mesh/inbound/rate_limit.py
+++ b/ferrydeck/mesh/inbound/rate_limit.py
@@ -45,7 +45,7 @@
     """Requests that may be started now."""
     _refilled_at: float = 0.0
     _answered: bool = False
-    """Whether the target has answered a run of this daemon."""
+    """Whether the target has answered a run since it opened."""
     _stated_at: float = 0.0
     """When an answer last stated the limit."""
     _announced: float | None = None
