The exchange of rate limits is a module of its own

No behaviour changes: test_rate_limit in virtual time and with processes, test_faults, test_size and test_metrics passed.

--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -16,6 +16,7 @@
     heartbeats,
     inbound,
     inbound_request,
+    rate_limit_exchange,
     request_queue,
     retry_exchange,
     target_watch,
@@ -56,6 +57,7 @@
     incoming_links: incoming_links.IncomingLinks = attrs.field(init=False)
     policies: policy_distribution.PolicyDistribution = attrs.field(init=False)
     retry_exchange: retry_exchange.RetryExchange = attrs.field(init=False)
+    rate_limit_exchange: rate_limit_exchange.RateLimitExchange = attrs.field(init=False)
     shutdown: shutdown.Shutdown = attrs.field(init=False)
     _started: float = 0.0
 
@@ -115,6 +117,12 @@
             peers=self.peers,
             budget=self.inbound.retry_budget,
         )
+        self.rate_limit_exchange = rate_limit_exchange.RateLimitExchange(
+            ctx=ctx,
+            peers=self.peers,
+            incoming_links=self.incoming_links,
+            limit=self.inbound.rate_limit,
+        )
         self.shutdown = shutdown.Shutdown(
             ctx=ctx, inbound=self.inbound, outbound=self.outbound
         )
@@ -240,7 +248,7 @@
 
     def _check_links(self, now: float) -> None:
         self._update_target_count(now)
-        self._update_service_limited()
+        self.rate_limit_exchange.tick()
         self.retry_exchange.tick(now)
         linked = [peer for peer in self.peers.by_address.values() if peer.in_flight]
         self.peers.check_links(now)
@@ -249,13 +257,6 @@
             if peer.link is peers.LinkState.DOWN:
                 self.outbound.link_down(now, peer)
 
-    def _update_service_limited(self) -> None:
-        """Update whether all targets of the service state a rate limit."""
-        limit = self.inbound.rate_limit
-        own = limit.rate_per_s is not None
-        service = self.identity.service
-        limit.service_limited = own and self.peers.all_limited(service)
-
     def _update_target_count(self, now: float) -> None:
         """Update the number of targets that share the slack of the retry budget.
 
@@ -312,8 +313,8 @@
                 self.heartbeats.end_relay(number, accepted=accepted)
             case messages.TeamGrants():
                 self.quota_exchange.grants_received(now, address, message)
-            case messages.RateLimit(rate_per_s=rate_per_s):
-                peer.rate_limit = message if rate_per_s >= 0 else None
+            case messages.RateLimit():
+                self.rate_limit_exchange.announced(peer, message)
             case messages.SuspectReports(suspects=reports):
                 changed = self.inbound.suspects.records.merge(now, reports)
                 self.inbound.crashes.suspects_changed(now, changed)
@@ -348,7 +349,7 @@
             case messages.RetryCounts():
                 self.retry_exchange.received(now, incoming.address, message)
             case messages.RateLimit():
-                self._own_rate_limit_received(now, link, message)
+                self.rate_limit_exchange.returned(now, link, message)
             case messages.TeamUsages():
                 self.quota_exchange.usages_received(now, link, message)
             case messages.TeamGrants():
@@ -368,9 +369,7 @@
             sent_s=now,
         )
         self.incoming_links.send(link, welcome)
-        supported = hello.protocol >= messages.MIN_RATE_LIMIT_PROTOCOL
-        if supported and self.inbound.rate_limit.rate_per_s is not None:
-            self.incoming_links.send(link, self._rate_limit())
+        self.rate_limit_exchange.hello_received(link, hello)
         if known := self.inbound.suspects.records.reports(now):
             self.incoming_links.send(link, messages.SuspectReports(suspects=known))
         if (
@@ -405,25 +404,9 @@
         self.policies.broadcast_state(now)
 
     def _send_rate_limit(self, now: float) -> None:
-        """Broadcast the rate limit of the target to the daemons that support it."""
-        self.incoming_links.broadcast(
-            self._rate_limit(), min_protocol=messages.MIN_RATE_LIMIT_PROTOCOL
-        )
-
-    def _own_rate_limit_received(
-        self, now: float, link: int, message: messages.RateLimit
-    ) -> None:
-        """Apply the limit of this box's target as a peer knows it, or correct it."""
-        applied = self.inbound.rate_limit.peer_reported(
-            now, message.target_id, message.rate_per_s
-        )
-        if not applied:
-            self.incoming_links.send(link, self._rate_limit())
-
-    def _rate_limit(self) -> messages.RateLimit:
-        limit = self.inbound.rate_limit
-        rate_per_s = -1.0 if limit.rate_per_s is None else limit.rate_per_s
-        return messages.RateLimit(target_id=limit.target_id, rate_per_s=rate_per_s)
+        """Broadcast the rate limit of this box's target, and its state."""
+        self.rate_limit_exchange.broadcast()
+        self._send_state(now)
 
     def _send_suspects(self, reports: list[messages.SuspectReport]) -> None:
         """Broadcast reports of requests suspected of crashing targets."""
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -51,7 +51,7 @@
     announce: Callable[[float], None]
     """Sends the target state to all other daemons."""
     announce_rate_limit: Callable[[float], None]
-    """Sends the rate limit of the target to all other daemons."""
+    """Sends the rate limit and the state of the target to all other daemons."""
     suspects: tracker.PoisonTracker
     stopping: bool = False
     correlator: correlation.CallCorrelator = attrs.Factory(correlation.CallCorrelator)
@@ -82,7 +82,7 @@
             ctx=ctx, costs=self.costs, prices=self.prices
         )
         self.rate_limit = rate_limit.RateLimit(
-            ctx=ctx, on_change=self._rate_limit_changed
+            ctx=ctx, on_change=self.announce_rate_limit
         )
         self.retry_budget = retry_budget.RetryBudget(
             ratio=ctx.limits.retry_ratio,
@@ -139,11 +139,6 @@
         """Maximum number of concurrent runs."""
         return self.runs.limit
 
-    @property
-    def capacity(self) -> float:
-        """Concurrent runs that the slots and the rate limit of the target sustain."""
-        return self.runs.capacity
-
     def load(self, now: float) -> messages.Load:
         """Return the load of the target, as sent with each reply."""
         return messages.Load(
@@ -160,7 +155,7 @@
             phase=phase,
             incarnation=self.target.incarnation,
             service=self.ctx.identity.service,
-            slots=max(1, int(self.capacity)),
+            slots=max(1, int(self.runs.capacity)),
             warmup_s=max(0.0, self.target.cold_until - now),
             version=self.ctx.version,
         )
@@ -305,7 +300,7 @@
 
     def _update_price(self, now: float) -> None:
         # Only if no other target has room, the rate limit is a shortage of the service.
-        limit = self.capacity if self.rate_limit.service_limited else self.limit
+        limit = self.runs.capacity if self.rate_limit.service_limited else self.limit
         self.shedder.update_price(
             now,
             limit=limit,
@@ -397,11 +392,6 @@
         self.rate_limit.target_opened(now, target_id)
         self.announce(now)
 
-    def _rate_limit_changed(self, now: float) -> None:
-        """Announce the rate limit, and the capacity that follows from it."""
-        self.announce_rate_limit(now)
-        self.announce(now)
-
     def _target_closed(self, now: float, reason: messages.Reason) -> None:
         """Announce that the target accepts no requests, and reject the queued ones."""
         self.announce(now)
--- a/ferrydeck/mesh/outbound/balancing.py
+++ b/ferrydeck/mesh/outbound/balancing.py
@@ -192,7 +192,7 @@
     def _local_score(self, now: float, group: TargetGroup) -> float:
         inbound = self.inbound
         return self._total_score(
-            inbound.busy / inbound.capacity,
+            inbound.busy / inbound.runs.capacity,
             False,
             now < inbound.target.cold_until,
             inbound.service_time_ms,
