--- a/tests/mesh/test_rate_limit.py
+++ b/tests/mesh/test_rate_limit.py
@@ -7,7 +7,7 @@
 from ferrydeck.mesh import events
 from ferrydeck.mesh.inbound import rate_limit
 from tests import statements
-from tests.mesh import samples, simulation
+from tests.mesh import samples, simulation, test_surge
 
 PER_S = 240
 RATE = 8.0
@@ -151,3 +151,21 @@
         assert limit.rate_per_s == 8.0
     limit.answer_received(11.0, "i-a", 10.5, plain)
     assert limit.rate_per_s is None
+
+
+def test_requests_that_call_a_limited_service_are_shed_before_they_run():
+    rate = 50.0
+    world = test_surge.chain_of()
+    test_surge.send_load(world, per_s=20, seconds=5)
+    world.boxes["box-1"].target.rate_limit = rate
+    test_surge.send_load(world, per_s=80, seconds=3)
+    since = world.now
+    looks, posts, plains = test_surge.send_load(world, per_s=80, seconds=10)
+    used = sum(run.box == "box-1" and run.at >= since for run in world.targets.runs)
+    assert used > 0.85 * rate * (world.now - since)
+    world.run(2)
+    assert over_limit(world) == []
+    failed = [look for look in looks if look.answer.status not in (200, 503)]
+    assert len(failed) < 0.1 * len(looks)
+    assert samples.statuses(posts).count(200) > 0.9 * len(posts)
+    assert samples.statuses(plains) == [200] * len(plains)
