--- a/tests/mesh/test_rate_limit.py
+++ b/tests/mesh/test_rate_limit.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from ferrydeck.mesh import events
+from ferrydeck.mesh import events, messages
 from ferrydeck.mesh.inbound import rate_limit
 from tests import statements
 from tests.mesh import samples, simulation, test_surge
+from tests.mesh.simulation import links
 
 PER_S = 240
 RATE = 8.0
@@ -169,3 +170,41 @@
     assert len(failed) < 0.1 * len(looks)
     assert samples.statuses(posts).count(200) > 0.9 * len(posts)
     assert samples.statuses(plains) == [200] * len(plains)
+
+
+def known_limits(world: simulation.World, name: str) -> list[float | None]:
+    """Return the limit of a box's target as each other daemon knows it."""
+    address = world.boxes[name].address
+    known = [
+        box.core.peers.by_address[address].rate_limit
+        for box in world.boxes.values()
+        if box.address != address
+    ]
+    return [None if one is None else one.rate_per_s for one in known]
+
+
+def test_a_limit_that_was_lifted_behind_a_cut_is_forgotten_by_all():
+    world = limited_world()
+    send(world, 3.0)
+    assert known_limits(world, "box-0") == [RATE] * 5
+    world.links.cut = links.isolate_data_centre("hall-1")
+    world.run(1.0)
+    world.boxes["box-0"].target.rate_limit = None
+    send(world, 4.0)
+    assert RATE in known_limits(world, "box-0")
+    world.links.heal()
+    send(world, 4.0)
+    assert known_limits(world, "box-0") == [None] * 5
+
+
+def test_daemons_of_an_older_protocol_are_sent_no_limit():
+    world = samples.world_of(3, work_s=0.02)
+    limited = world.boxes["box-0"].core
+    for link in limited.incoming_links.by_id.values():
+        link.protocol = messages.MIN_RATE_LIMIT_PROTOCOL - 1
+    world.boxes["box-0"].target.rate_limit = RATE
+    requests = send(world, 6.0, per_s=100)
+    world.run(1)
+    assert world.links.sent["RateLimit"] == 0
+    assert over_limit(world) == []
+    assert samples.statuses(requests) == [200] * len(requests)
