A target that left by an answer stays closed when its birth time becomes known (DRAIN)

What was seen: by reading, then in virtual time: a daemon that has started opens its target by a health check, which states no birth time. When an answer then says that the target leaves, the name that has left has no birth time either, and heartbeats that still say ready open the target again under its full name once late ones are no longer expected, 10 s later: five requests too late before its next answer closed it.

Cause: an incarnation is one thing under two names, and only one of them was marked. Change: the first heartbeat within two intervals after such an answer gives the full name, which is marked as well. Later ones are of another lifetime under the same id, which may open.

Evidence: test_a_target_that_left_before_its_birth_time_was_known_stays_closed failed before (five requests) and passes; test_leaving, test_incarnations, test_target_watch, test_faults and tests/mesh/poison passed.

--- a/ferrydeck/mesh/inbound/target_watch.py
+++ b/ferrydeck/mesh/inbound/target_watch.py
@@ -22,6 +22,8 @@
 MIN_HEARTBEATS = 2
 """Heartbeats that open a target without a successful health check. A single one may
 have been sent before the target announced that it leaves."""
+MAX_MISSED_HEARTBEATS = 2
+"""Heartbeat intervals in which a running target sends at least one heartbeat."""
 MAX_DELAY_S = 10.0
 """Longest delay of a heartbeat, seconds."""
 MAX_INCARNATIONS = 64
@@ -76,6 +78,8 @@
     """Highest sequence number of the heartbeats, by incarnation."""
     _left_at: dict[str, float] = attrs.Factory(dict)
     """Leaving time of incarnations with unknown birth time, by target id."""
+    _left_by_answer_at: dict[str, float] = attrs.Factory(dict)
+    """The same, for those that left by an answer."""
     _newest: dict[str, int] = attrs.Factory(dict)
     """Birth time of the newest incarnation of each id, Unix time in milliseconds."""
     _ready_heartbeats: int = 0
@@ -130,8 +134,11 @@
 
     def leaving_stated(self, now: float, target_id: str) -> None:
         """Close the target for good if its answer states that it is leaving."""
-        if target_id and target_id == incarnations.target_id_of(self.incarnation):
-            self._leave(now, self.incarnation, "answer")
+        if not target_id or target_id != incarnations.target_id_of(self.incarnation):
+            return
+        if not incarnations.started_ms(self.incarnation):
+            self._left_by_answer_at[target_id] = now
+        self._leave(now, self.incarnation, "answer")
 
     def heartbeat(self, now: float, heartbeat: events.Heartbeat) -> HeartbeatResult:
         """Process a heartbeat of the target and return its effect."""
@@ -149,6 +156,8 @@
                 now, incarnation, "gone" if heartbeat.terminating else "draining"
             )
             return HeartbeatResult.LEAVING
+        if self._names_leaving_target(now, heartbeat.target_id):
+            self.left.add(incarnation)
         if incarnation in self.left or self._may_be_late(now, heartbeat.target_id):
             return HeartbeatResult.HAS_LEFT
         if last >= 0 and self._is_replaced(heartbeat.target_id):
@@ -227,6 +236,14 @@
         """
         return now - self._left_at.get(target_id, float("-inf")) < MAX_DELAY_S
 
+    def _names_leaving_target(self, now: float, target_id: str) -> bool:
+        """Return whether a heartbeat is the first one after a target left by an answer.
+
+        The answer has only the target id; the heartbeat adds the birth time.
+        """
+        left_at = self._left_by_answer_at.pop(target_id, float("-inf"))
+        return now - left_at <= MAX_MISSED_HEARTBEATS * self.ctx.limits.heartbeat_s
+
     def _remember(self, incarnation: str, sequence: int) -> None:
         """Store the sequence number of a heartbeat, and drop the oldest incarnation."""
         target_id = incarnations.target_id_of(incarnation)
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -150,3 +150,13 @@
     send_at_all(world, 2.0)
     record = simulation.record_of(world)
     assert record.count(box.target.target_id, since, world.now) > 50
+
+
+def test_a_target_that_left_before_its_birth_time_was_known_stays_closed():
+    world = samples.world_of(3, work_s=0.05, started_ms=1_000)
+    leaving = world.boxes["box-1"]
+    # A daemon that has started opens its target by a health check, without birth time.
+    world.kill(leaving, 0.3)
+    leaving.target.says_leaving = True
+    send_at_all(world, 16.0)
+    assert statements.sent_after_leaving(simulation.record_of(world)) == []
