Check of leaving: a cut excuses no box

The agreed rule on Server-Leaving holds in touch or not; only a restart or a freeze excuses a box, and only until it is told anew. The check of excused cuts as well, and a box that was struck once for good: too loose. Replaced by the stricter one.

--- a/tests/mesh/faults.py
+++ b/tests/mesh/faults.py
@@ -118,7 +118,7 @@
         def outbound_only(one: simulation.Box, other: simulation.Box) -> bool:
             return one.data_centre == data_centre != other.data_centre
 
-        self.world.strikes += [
+        self.world.cuts += [
             (box.name, self.world.now)
             for box in self.world.boxes.values()
             if box.data_centre == data_centre
@@ -127,7 +127,7 @@
 
     def _cut_box(self) -> None:
         if (box := self._box()) is not None:
-            self.world.strikes.append((box.name, self.world.now))
+            self.world.cuts.append((box.name, self.world.now))
             self._cut(lambda one, other: box in (one, other))
 
     def _cut(self, cut: object) -> None:
--- a/tests/mesh/simulation/world.py
+++ b/tests/mesh/simulation/world.py
@@ -32,7 +32,9 @@
     decisions: list[tuple[float, str, effects.Decision]] = attrs.Factory(list)
     """Decisions of daemons, with time and box name."""
     strikes: list[tuple[str, float]] = attrs.Factory(list)
-    """Boxes whose daemons were killed, frozen or cut off, with the time."""
+    """Boxes whose daemons were killed or frozen, with the time."""
+    cuts: list[tuple[str, float]] = attrs.Factory(list)
+    """Boxes that were cut off, with the time."""
     callers: callers.Callers = attrs.field(init=False)
     links: links.Links = attrs.field(init=False)
     store: store.Store = attrs.field(init=False)
@@ -199,6 +201,7 @@
             if (req := world.callers.requests.get(run.request_id)) is not None
         ],
         strikes=world.strikes,
+        cuts=world.cuts,
     )
 
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -172,8 +172,8 @@
             for one in executions
             if one.request_id in by_id
         ],
-        strikes=[(box, start) for box, start, _ in history.fault_windows]
-        + history.link_faults,
+        strikes=[(box, start) for box, start, _ in history.fault_windows],
+        cuts=history.link_faults,
     )
     return statements.over_limit(record) + statements.sent_after_leaving(record)
 
--- a/tests/statements.py
+++ b/tests/statements.py
@@ -1,7 +1,8 @@
 """Checks that targets get only what their answers state that they accept.
 
 The bounds are the agreed ones. A box counts from `TOLD_DELAY_S` after it has passed on
-an answer with a limit, until it is struck: restarted, frozen or cut off.
+an answer with a limit, until it is restarted, frozen or cut off. It gets no request to
+a target that leaves, in touch or not, until it is restarted or frozen.
 """
 
 from __future__ import annotations
@@ -52,11 +53,18 @@
     statements: list[Statement] = attrs.Factory(list)
     arrivals: list[Arrival] = attrs.Factory(list)
     strikes: list[tuple[str, float]] = attrs.Factory(list)
-    """Boxes that were struck, with the time."""
+    """Boxes that were restarted or frozen, with the time."""
+    cuts: list[tuple[str, float]] = attrs.Factory(list)
+    """Boxes that were cut off, with the time."""
 
     def struck(self, origin: str, since: float, until: float) -> bool:
-        """Return whether a box was struck in a time span."""
-        return any(box == origin and since <= at <= until for box, at in self.strikes)
+        """Return whether a box was restarted or frozen in a time span."""
+        return _occurred(self.strikes, origin, since, until)
+
+    def struck_or_cut(self, origin: str, since: float, until: float) -> bool:
+        """Return whether a box was restarted, frozen or cut off in a time span."""
+        cut = _occurred(self.cuts, origin, since, until)
+        return cut or self.struck(origin, since, until)
 
     def count(self, target_id: str, since: float, until: float) -> int:
         """Return how many requests reached a target in a time span."""
@@ -77,16 +85,16 @@
 
 def sent_after_leaving(record: Record) -> list[str]:
     """Return the requests sent too late to targets that had stated that they leave."""
-    told_at: dict[tuple[str, str], float] = {}
+    told_at = collections.defaultdict(list)
     for one in record.statements:
         if one.leaving:
-            told_at.setdefault((one.target_id, one.origin), one.at)
+            told_at[one.target_id, one.origin].append(one.at)
     return [
         f"DRAIN {one.request_id} from {one.origin} reaches {one.target_id} at "
         f"{one.at:.3f}"
         for one in record.arrivals
-        if (told := told_at.get((one.target_id, one.origin))) is not None
-        and one.sent_at > told + DRAIN_S
+        if (told := _last(told_at[one.target_id, one.origin], one.sent_at - DRAIN_S))
+        is not None
         and not record.struck(one.origin, told, one.at)
     ]
 
@@ -125,11 +133,22 @@
 
 def _told(record: Record, told_at: list[float], arrival: Arrival) -> bool:
     """Return whether the box of a request had been told, and was not struck since."""
-    told = bisect.bisect_right(told_at, arrival.at - TOLD_DELAY_S)
-    if not told:
+    since = _last(told_at, arrival.at - TOLD_DELAY_S)
+    if since is None:
         return False
-    since = told_at[told - 1]
-    return not record.struck(arrival.origin, since, arrival.at + WINDOW_S)
+    return not record.struck_or_cut(arrival.origin, since, arrival.at + WINDOW_S)
+
+
+def _last(times: list[float], until: float) -> float | None:
+    """Return the last of sorted times that is not after `until`, if any."""
+    count = bisect.bisect_right(times, until)
+    return times[count - 1] if count else None
+
+
+def _occurred(
+    faults: list[tuple[str, float]], origin: str, since: float, until: float
+) -> bool:
+    return any(box == origin and since <= at <= until for box, at in faults)
 
 
 def _rates(
