The quota's count of a window does not grow with the fleet

By reading the diff: each report added an entry, 7,900 a second at 790 daemons, so some 40,000 for a team. Counts of a tenth of a second are kept as one: 51 entries at most, whatever the number of daemons; a window ends up to that much early.

--- a/ferrydeck/mesh/teams/quota.py
+++ b/ferrydeck/mesh/teams/quota.py
@@ -45,6 +45,8 @@
 PEAK_DRAIN_S = 0.3
 """Time in which that part may be used up, seconds; usage is reported and a grant takes
 effect within it."""
+COUNT_STEP_S = 0.1
+"""Resolution of the count of a window, seconds, whatever the number of daemons."""
 REPORT_LAG_S = 0.15
 """Average age of usage when it is reported, seconds, plus the delay of the grant."""
 MIN_CHANGE_RATIO = 0.1
@@ -186,8 +188,12 @@
 
     def add_admitted(self, now: float, count: float) -> None:
         """Count admitted requests in the window."""
-        self._admitted.append((now, count))
         self.used += count
+        if self._admitted and now - self._admitted[-1][0] < COUNT_STEP_S:
+            at, counted = self._admitted.pop()
+            self._admitted.append((at, counted + count))
+        else:
+            self._admitted.append((now, count))
 
     def drop_admitted(self, before: float) -> None:
         """Drop the requests that were admitted before the window."""
--- a/tests/mesh/teams/test_quota.py
+++ b/tests/mesh/teams/test_quota.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ferrydeck.mesh.teams import quota
 from tests.mesh import samples
 from tests.mesh.teams import fleets
 
@@ -116,6 +117,18 @@
     assert counts[429] == 0
 
 
+def test_the_count_of_a_window_does_not_grow_with_the_reports():
+    account = quota.Account(tokens=0.0, updated_at=0.0)
+    for report in range(5_000):
+        account.add_admitted(report / 1000, 1)
+    assert account.used == 5_000
+    assert len(account._admitted) <= 51
+    account.drop_admitted(2.5)
+    assert 2_400 <= account.used <= 2_500
+    account.drop_admitted(9.0)
+    assert account.used == 0
+
+
 def test_lowered_rate_holds_after_one_window():
     world = world_of()
     send_load(world, 0.9 * RATE, 5.0)
