--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -28,7 +28,12 @@
     policy_distribution,
     registry,
 )
-from ferrydeck.mesh.outbound import balancing, outbound, request_builder
+from ferrydeck.mesh.outbound import (
+    attempt_results,
+    balancing,
+    outbound,
+    request_builder,
+)
 from ferrydeck.mesh.poison import crash_detection, records, tracker
 from ferrydeck.mesh.teams import access, policy_freshness, quota, quota_exchange
 
@@ -247,7 +252,10 @@
                 self.shutdown.check(now)
 
     def _check_links(self, now: float) -> None:
-        self._update_target_count(now)
+        # Until then, the number of targets may be too low.
+        if self.registry.records_read and now - self._started >= MAX_DISCOVERY_S:
+            restarted_at = self._started if self.registry.has_restarted else None
+            self.retry_exchange.update_target_count(restarted_at)
         self.rate_limit_exchange.tick()
         self.retry_exchange.tick(now)
         linked = [peer for peer in self.peers.by_address.values() if peer.in_flight]
@@ -257,18 +265,6 @@
             if peer.link is peers.LinkState.DOWN:
                 self.outbound.link_down(now, peer)
 
-    def _update_target_count(self, now: float) -> None:
-        """Update the number of targets that share the slack of the retry budget.
-
-        Until the records are read and discovery has ended, the number may be too low.
-        """
-        if not self.registry.records_read or now - self._started < MAX_DISCOVERY_S:
-            return
-        budget = self.inbound.retry_budget
-        if self.registry.has_restarted:
-            budget.started_at = self._started
-        budget.observe_target_count(1 + self.peers.count_targets(self.identity.service))
-
     def _outgoing_link_down(self, now: float, address: str) -> None:
         peer = self.peers.link_down(now, address)
         if peer is not None:
@@ -282,14 +278,13 @@
         if peer is None:
             return
         match message:
-            case messages.Answer():
-                self.outbound.answer_received(now, peer, message)
-            case messages.AnswerPart():
-                self.outbound.answer_part_received(now, peer, message)
-            case messages.Rejected():
-                self.outbound.attempt_rejected(now, peer, message)
-            case messages.AttemptFailed():
-                self.outbound.attempt_broken(now, peer, message)
+            case (
+                messages.Answer()
+                | messages.AnswerPart()
+                | messages.Rejected()
+                | messages.AttemptFailed()
+            ):
+                attempt_results.deliver(self.outbound, now, peer, message)
             case messages.Pong(version=version, load=load):
                 self.policies.pong_received(message)
                 peer.update_load(now, load)
@@ -383,21 +378,13 @@
         self,
         now: float,
         req: inbound_request.InboundRequest,
-        message: messages.AnyMessage,
+        message: attempt_results.Result,
     ) -> None:
         """Send a reply of the inbound side to where the request came from."""
         if req.link != inbound.LOCAL_LINK:
             self.incoming_links.send(req.link, message)
             return
-        match message:
-            case messages.Answer():
-                self.outbound.answer_received(now, None, message)
-            case messages.AnswerPart():
-                self.outbound.answer_part_received(now, None, message)
-            case messages.Rejected():
-                self.outbound.attempt_rejected(now, None, message)
-            case messages.AttemptFailed():
-                self.outbound.attempt_broken(now, None, message)
+        attempt_results.deliver(self.outbound, now, None, message)
 
     def _send_state(self, now: float) -> None:
         """Broadcast the target state of this box to all linked daemons."""
--- a/ferrydeck/mesh/inbound/retry_exchange.py
+++ b/ferrydeck/mesh/inbound/retry_exchange.py
@@ -40,6 +40,16 @@
             if self._accepts_counts(peer):
                 self.ctx.send(peer.address, message)
 
+    def update_target_count(self, restarted_at: float | None) -> None:
+        """Update the number of targets that share the slack of the budget.
+
+        `restarted_at` is when this daemon started, if its box had one before.
+        """
+        if restarted_at is not None:
+            self.budget.started_at = restarted_at
+        others = self.peers.count_targets(self.ctx.identity.service)
+        self.budget.observe_target_count(1 + others)
+
     def received(self, now: float, address: str, counts: messages.RetryCounts) -> None:
         """Store the counts of the daemon at an address."""
         self.budget.report_received(now, address, counts.requests, counts.retries)
--- a/tests/platform/test_rate_limit.py
+++ b/tests/platform/test_rate_limit.py
@@ -5,8 +5,6 @@
 import bisect
 import threading
 
-import pytest
-
 from ferrydeck import clock
 from tests import statements
 from tests.platform import mesh_fleet
@@ -19,14 +17,6 @@
 """Long enough for one whole window of the agreed bound, seconds."""
 
 
-@pytest.fixture
-def mesh(tmp_path):
-    mesh_under_test = mesh_fleet.MeshFleet(tmp_path)
-    yield mesh_under_test
-    mesh_under_test.close()
-    assert mesh_under_test.logged_exceptions() == []
-
-
 def send_until(
     box: mesh_fleet.MeshBox, name: str, ends_at: float, statuses: list[int]
 ) -> None:
--- a/tests/platform/test_teams.py
+++ b/tests/platform/test_teams.py
@@ -167,14 +167,6 @@
         assert isinstance(kv.from_http(request, status, [body]), store.NoAnswer)
 
 
-@pytest.fixture
-def mesh(tmp_path):
-    mesh_under_test = mesh_fleet.MeshFleet(tmp_path)
-    yield mesh_under_test
-    mesh_under_test.close()
-    assert mesh_under_test.logged_exceptions() == []
-
-
 def test_api_keys_are_added_and_revoked_end_to_end(mesh):
     def manifest_with_keys(version: int, *api_keys: str) -> dict[str, object]:
         result = mesh_fleet.manifest(version)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -17,14 +17,6 @@
 """Larger than the answers that a daemon forwards unstreamed."""
 
 
-@pytest.fixture
-def mesh(tmp_path):
-    mesh_under_test = mesh_fleet.MeshFleet(tmp_path)
-    yield mesh_under_test
-    mesh_under_test.close()
-    assert mesh_under_test.logged_exceptions() == []
-
-
 def start_two(mesh, **server):
     mesh.publish(mesh_fleet.manifest(4))
     boxes = [mesh.add_box(**server) for _ in range(2)]
