--- a/review/common/site_fleet.py
+++ b/review/common/site_fleet.py
@@ -128,6 +128,9 @@
         names = ("app", "outbound", "ready", "control", "link", "store")
         self.ports = dict(zip(names, ports, strict=True))
         self.store_ip = f"{self.net}.250"
+
+    def start_store(self) -> None:
+        """Start the platform's store, and wait until it answers."""
         self.spawn(
             "store",
             [
@@ -318,11 +321,14 @@
 def main(case: pathlib.Path, play: Callable[[Site], bool]) -> int:
     """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it can't run."""
     site = None
+    signal.signal(signal.SIGTERM, lambda signo, stack: sys.exit(2))
     try:
         site = Site(case)
+        site.start_store()
         broken = play(site)
         site.record(f"RESULT {'the rule was broken' if broken else 'the rule held'}")
-    except (CannotRun, OSError, AssertionError) as exc:
+    except Exception as exc:
+        # Whatever else goes wrong must not look like a broken rule.
         print(f"the case can't run: {exc!r}", file=sys.stderr)
         return 2
     finally:
