--- a/review/common/client.py
+++ b/review/common/client.py
@@ -92,54 +92,80 @@
     """How fast a client reads, and over which kind of connection."""
 
     bytes_per_s: float
-    receive_buffer: int = 32 * 1024
+    receive_buffer: int = 4096
     segment_bytes: int = 1400
     """Largest TCP segment, as on a link that is no loopback link."""
 
 
-async def send_slowly(address: tuple[str, int], request: Request, pace: Pace) -> Result:
-    """Send a request, and read its answer at an even pace."""
-    loop = asyncio.get_running_loop()
-    result = Result(request_id=request.request_id, sent_at=time.time())
-    sock = socket.socket()
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, pace.receive_buffer)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, pace.segment_bytes)
-    try:
-        async with asyncio.timeout(request.deadline_s):
-            await loop.sock_connect(sock, address)
-            await loop.sock_sendall(sock, head_of(request) + request.body)
-            await read_slowly(sock, result, pace)
-    except (OSError, EOFError, TimeoutError) as exc:
-        result.ending = f"{type(exc).__name__}"
-    finally:
-        sock.close()
-    result.ended_at = time.time()
-    return result
-
-
-async def read_slowly(sock: socket.socket, result: Result, pace: Pace) -> None:
-    """Read an answer with a length at an even pace; raise `EOFError` if it is cut."""
-    loop = asyncio.get_running_loop()
-    data = b""
-    while b"\r\n\r\n" not in data:
-        part = await loop.sock_recv(sock, 4096)
-        if not part:
-            raise EOFError
-        data += part
-    text, _, body = data.partition(b"\r\n\r\n")
-    line, *fields = text.decode("latin-1").split("\r\n")
-    result.status = int(line.split(" ")[1])
-    pairs = (field.partition(":") for field in fields)
-    head = {name.lower(): value.strip() for name, _, value in pairs}
-    result.expected_bytes = int(head.get("content-length", "0"))
-    result.body_bytes = len(body)
-    started = time.monotonic()
-    while result.body_bytes < result.expected_bytes:
-        due = result.body_bytes / pace.bytes_per_s - (time.monotonic() - started)
-        await asyncio.sleep(max(0.0, due))
-        part = await loop.sock_recv(sock, 16384)
-        if not part:
-            raise EOFError
-        result.body_bytes += len(part)
-    result.ending = "complete"
+class SlowClient:
+    """A client with a kept connection that reads answers at an even pace."""
+
+    def __init__(self, address: tuple[str, int], pace: Pace) -> None:
+        self.address = address
+        self.pace = pace
+        self.sock: socket.socket | None = None
+
+    async def send(self, request: Request) -> Result:
+        """Send a request, and read its answer at the pace."""
+        result = Result(request_id=request.request_id, sent_at=time.time())
+        try:
+            async with asyncio.timeout(request.deadline_s):
+                loop = asyncio.get_running_loop()
+                sock = self.sock or await self.connect()
+                await loop.sock_sendall(sock, head_of(request) + request.body)
+                kept = await self.read_answer(sock, result)
+        except (OSError, EOFError, TimeoutError) as exc:
+            result.ending = type(exc).__name__
+            kept = False
+        if not kept:
+            self.close()
+        result.ended_at = time.time()
+        return result
+
+    async def connect(self) -> socket.socket:
+        """Open the connection."""
+        self.sock = socket.socket()
+        self.sock.setblocking(False)
+        buffer, segment = self.pace.receive_buffer, self.pace.segment_bytes
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment)
+        await asyncio.get_running_loop().sock_connect(self.sock, self.address)
+        return self.sock
+
+    async def read_answer(self, sock: socket.socket, result: Result) -> bool:
+        """Read an answer with a length; return whether the connection is kept.
+
+        Raises `EOFError` if the answer ends early.
+        """
+        loop = asyncio.get_running_loop()
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += await receive(sock)
+        text, _, body = data.partition(b"\r\n\r\n")
+        line, *fields = text.decode("latin-1").split("\r\n")
+        result.status = int(line.split(" ")[1])
+        pairs = (field.partition(":") for field in fields)
+        head = {name.lower(): value.strip() for name, _, value in pairs}
+        result.expected_bytes = int(head.get("content-length", "0"))
+        result.body_bytes = len(body)
+        started = loop.time()
+        while result.body_bytes < result.expected_bytes:
+            due_s = result.body_bytes / self.pace.bytes_per_s
+            await asyncio.sleep(max(0.0, due_s - (loop.time() - started)))
+            result.body_bytes += len(await receive(sock))
+        result.ending = "complete"
+        return head.get("connection") != "close"
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+
+async def receive(sock: socket.socket) -> bytes:
+    """Receive a part of an answer; raise `EOFError` at the end of the connection."""
+    part = await asyncio.get_running_loop().sock_recv(sock, 2048)
+    if not part:
+        raise EOFError
+    return part
--- a/review/common/site_fleet.py
+++ b/review/common/site_fleet.py
@@ -56,11 +56,24 @@
 def manifest(
     timeout: str, target_latency: str, look_service: str = SERVICE
 ) -> dict[str, object]:
-    """Return a manifest with a safe, an unsafe and a download route."""
+    """Return a manifest with a safe, an unsafe and a download route.
+
+    The unsafe route leads to `SERVICE`, the others to `look_service`.
+    """
     rows = [
         ["look", HOST, "/look/", "safe", timeout, target_latency, 2, 2, look_service],
         ["pay", HOST, "/pay/", "unsafe", timeout, target_latency, 0, 2, SERVICE],
-        ["file", HOST, "/file/", "download", timeout, target_latency, 2, 2, SERVICE],
+        [
+            "file",
+            HOST,
+            "/file/",
+            "download",
+            timeout,
+            target_latency,
+            2,
+            2,
+            look_service,
+        ],
     ]
     services = {"columns": ["name", "health_path", "max_connections"]}
     names = sorted({SERVICE, look_service})
