--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 """Servers with second answers: share 0.6, as in the site file."""
 WINDOW_S = 5.0
 PAUSE_S = 1.0
-WINDOWS = 15
+WINDOWS = 17
 RATE_PER_S = 82.5
 """Rate of `payment-post` on the sheet."""
 DEADLINE_S = 5.0
@@ -70,7 +70,7 @@
 
 
 def play(fleet: site_fleet.Site) -> bool:
-    """Return whether a payment has run twice."""
+    """Return whether a payment has run twice, or was refused though it ran."""
     fleet.publish(site_fleet.manifest("5000ms", "1500ms"))
     for number in range(BOXES):
         fleet.add_box(slots=SLOTS, work_ms=WORK_MS, seed=number)
@@ -94,7 +94,7 @@
         f"COUNTS sent {len(results)}, ran twice {len(twice)}, "
         f"refused though run {len(refused)}"
     )
-    return bool(twice)
+    return bool(twice or refused)
 
 
 if __name__ == "__main__":
