--- a/ferrydeck/mesh/events.py
+++ b/ferrydeck/mesh/events.py
@@ -97,6 +97,8 @@
     total: int
     """Length of the whole body, bytes; -1 if unknown."""
     facts: AnswerFacts
+    conn: int = 0
+    """Number of the connection to the target; 0 if unknown."""
 
 
 @attrs.define(kw_only=True, frozen=True)
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -250,7 +250,7 @@
         facts = event.facts
         self._read_statements(now, req, facts)
         if facts.not_run:
-            self._target_rejected(now, req, facts)
+            self._target_rejected(now, req, event)
             return
         if 200 <= event.status < 300 and not facts.confirmed_complete:
             self.results.fail(now, req, messages.Reason.BAD_ANSWER)
@@ -356,9 +356,13 @@
             self.suspects.run_succeeded(now, req)
 
     def _target_rejected(
-        self, now: float, req: inbound_request.InboundRequest, facts: events.AnswerFacts
+        self,
+        now: float,
+        req: inbound_request.InboundRequest,
+        event: events.TargetAnswered,
     ) -> None:
         """Reject a request that the target rejected; it may be granted a retry."""
+        facts = event.facts
         self.runs.end(now, req)
         self.health.count(now, failed=True)
         expected_id = incarnations.target_id_of(self.target.incarnation)
@@ -371,7 +375,11 @@
             messages.Reason.TARGET_REJECTED,
             rejected_by_target=True,
             retry_granted=granted,
-            inputs={} if granted else self.retry_budget.snapshot(),
+            inputs={
+                "conn": event.conn,
+                "after_ms": round(1000 * (now - req.started_at), 1),
+                **({} if granted else self.retry_budget.snapshot()),
+            },
         )
         self.queue.start_next(now)
 
--- a/ferrydeck/mesh/inbound/runs.py
+++ b/ferrydeck/mesh/inbound/runs.py
@@ -99,6 +99,11 @@
         oldest = next(iter(self.by_dispatch.values()))
         return now - max(oldest.started_at, self.answered_at)
 
+    def oldest_run_s(self, now: float) -> float:
+        """Return the age of the oldest run, seconds; 0 without runs."""
+        oldest = next(iter(self.by_dispatch.values()), None)
+        return 0.0 if oldest is None else now - oldest.started_at
+
     def start(self, now: float, req: inbound_request.InboundRequest) -> None:
         """Send a request to the target."""
         req.started_at = now
--- a/ferrydeck/mesh/metrics.py
+++ b/ferrydeck/mesh/metrics.py
@@ -19,6 +19,8 @@
     "policy_version": "Version of the policy in force; 0 for none.",
     "calls_open": "Requests of this box's callers without final answer.",
     "server_running": "Requests at the server of this box.",
+    "server_streams": "Requests at the server whose answer is sent in parts.",
+    "server_oldest_run_seconds": "Age of the oldest request at the server; 0 for none.",
     "server_waiting": "Requests that wait for the server of this box.",
     "server_limit": "Requests at the server at once.",
     "server_rate_limit": "Requests a second that the server accepts; -1 for no limit.",
@@ -37,6 +39,7 @@
     "link_bytes_in": "Bytes received from other daemons.",
     "link_bytes_out": "Bytes sent to other daemons.",
     "server_connections_opened": "Connections opened to the server.",
+    "server_answers_discarded": "Answers of the server that belonged to no request.",
     "lines_left_out": "Log lines that were left out.",
 }
 
@@ -93,6 +96,10 @@
             "policy_version": core.ctx.version,
             "calls_open": len(core.outbound.requests.by_conn),
             "server_running": len(core.inbound.runs),
+            "server_streams": sum(
+                run.streaming for run in core.inbound.runs.by_dispatch.values()
+            ),
+            "server_oldest_run_seconds": core.inbound.runs.oldest_run_s(now),
             "server_waiting": len(core.inbound.waiting),
             "server_limit": core.inbound.limit,
             "server_rate_limit": _rate_limit(core),
--- a/ferrydeck/mesh/net/driver.py
+++ b/ferrydeck/mesh/net/driver.py
@@ -188,6 +188,7 @@
             link_bytes_in=self.links.bytes_in,
             link_bytes_out=self.links.bytes_out,
             server_connections_opened=self.target.client.opened,
+            server_answers_discarded=self.target.client.discarded_answers,
             lines_left_out=self.decisions.dropped_lines + self.output.dropped_lines,
         )
 
@@ -213,5 +214,17 @@
         self.output.flush()
         self.freeze_startup_objects(now)
         if self.exit_at is not None and now >= self.exit_at:
-            self.links.close()
-            self.root.stop()
+            self._exit()
+
+    def _exit(self) -> None:
+        """Log what is left unsent, and end the loop."""
+        callers = self.endpoints.requests
+        self.log_decision(
+            "stop",
+            "exit",
+            unsent_to_callers=callers.unsent_bytes,
+            unsent_on_links=self.links.unsent_bytes,
+            open_requests=len(callers.by_number),
+        )
+        self.links.close()
+        self.root.stop()
--- a/ferrydeck/mesh/net/target.py
+++ b/ferrydeck/mesh/net/target.py
@@ -75,6 +75,7 @@
                         more=event.more,
                         total=event.total,
                         facts=headers.read_answer(event.status, event.fields),
+                        conn=event.conn,
                     )
                 )
             case target_client.AnswerPart(ticket=ticket, data=data, last=last):
--- a/ferrydeck/mesh/net/target_client.py
+++ b/ferrydeck/mesh/net/target_client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 from collections.abc import Callable
 
@@ -37,6 +38,8 @@
 """How long after its deadline an answer is still awaited, seconds."""
 KEEP_ALIVE_FIELD = "keep-alive"
 
+_numbers = itertools.count(1)
+
 
 @attrs.define(kw_only=True, frozen=True)
 class AnswerHead:
@@ -49,6 +52,8 @@
     more: bool
     total: int
     """Length of the whole body, bytes; -1 if unknown."""
+    conn: int
+    """Number of the connection, unique in this process."""
 
 
 @attrs.define(kw_only=True, frozen=True)
@@ -67,6 +72,7 @@
 class TargetConn(request_client.RequestConn):
     """Connection to the target; its flow-control credit is in bytes."""
 
+    number: int = attrs.Factory(lambda: next(_numbers))
     is_answer: Callable[[http.Fields], bool] | None = None
     """Tells by its header fields whether an answer belongs to the current request."""
     reader: bodies.BodyReader | None = None
@@ -101,6 +107,8 @@
             poller=poller, channel="target", address=address, listener=listener
         )
         self.opened = 0
+        self.discarded_answers = 0
+        """Answers that belonged to no request in progress on their connection."""
         self._safe_idle_s = float("inf")
         """Idle time up to which connections are reused, seconds."""
         self._stale_seen_at = 0.0
@@ -244,11 +252,13 @@
                 body=body,
                 more=True,
                 total=max(-1, conn.head.length),
+                conn=conn.number,
             )
         )
 
     def _discard_foreign(self, conn: TargetConn) -> None:
         """Discard an answer to an earlier request; the awaited one may follow."""
+        self.discarded_answers += 1
         conn.head = None
         conn.reader = None
         conn.body = bytearray()
@@ -271,6 +281,7 @@
                 body=body,
                 more=False,
                 total=len(body),
+                conn=conn.number,
             )
         )
 
--- a/ferrydeck/net/sockets.py
+++ b/ferrydeck/net/sockets.py
@@ -49,6 +49,11 @@
         self.poller = poller
         self.conns: dict[socket.socket, Any] = {}
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes in the write buffers of all connections."""
+        return sum(len(conn.outbuf) for conn in self.conns.values())
+
     def on_read(self, source: Any) -> None:
         """Read from a socket that is ready."""
         conn = self.conns.get(source)
