--- a/ferrydeck/mesh/net/target.py
+++ b/ferrydeck/mesh/net/target.py
@@ -40,6 +40,7 @@
         request_id = effect.request_id
         self.client.request(
             effect.dispatch,
+            request_id=request_id,
             method=effect.method,
             path=effect.path,
             fields=headers.target_fields(effect),
@@ -52,11 +53,12 @@
         """Send a health check; `ProbeAnswered` follows."""
         self.client.request(
             HEALTH_CHECK_TICKET,
+            request_id="",
             method="GET",
             path=path,
             fields=[(headers.HOST, self.address)],
             body=b"",
-            is_answer=lambda fields: True,
+            is_answer=lambda fields: headers.matches_request("", fields),
             left_s=HEALTH_CHECK_TIMEOUT_S,
         )
 
--- a/ferrydeck/mesh/net/target_client.py
+++ b/ferrydeck/mesh/net/target_client.py
@@ -3,10 +3,15 @@
 Owns the connection pool and tracks after which idle time the target drops connections.
 Short answers are delivered whole, longer ones in parts under flow control. The driver
 calls `expire`.
+
+Answers echo the request id. A target may send a second copy of an answer later, so a
+connection carries each request id only once: an answer with the id then belongs to that
+request, and to no later attempt of it.
 """
 
 from __future__ import annotations
 
+import collections
 import itertools
 import socket
 from collections.abc import Callable
@@ -36,6 +41,9 @@
 """TCP_USER_TIMEOUT of connections to the target, milliseconds."""
 DEADLINE_GRACE_S = 0.1
 """How long after its deadline an answer is still awaited, seconds."""
+SENT_ID_GRACE_S = 1.0
+"""How long after its deadline a request id is remembered, seconds: the deadline of a
+later attempt is estimated anew from the delay of its link."""
 KEEP_ALIVE_FIELD = "keep-alive"
 
 _numbers = itertools.count(1)
@@ -75,6 +83,10 @@
     number: int = attrs.Factory(lambda: next(_numbers))
     is_answer: Callable[[http.Fields], bool] | None = None
     """Tells by its header fields whether an answer belongs to the current request."""
+    sent_ids: collections.OrderedDict[str, float] = attrs.Factory(
+        collections.OrderedDict
+    )
+    """Ids of the requests sent on it, with the time until which they are remembered."""
     reader: bodies.BodyReader | None = None
     body: bytearray = attrs.Factory(bytearray)
     foreign: bool = False
@@ -87,6 +99,12 @@
     started_at: float = 0.0
     """When the current request was sent, as of `clock.now`."""
 
+    def remember_id(self, request_id: str, now: float, left_s: float) -> None:
+        """Remember the id of a request, and forget ids whose time is over."""
+        while self.sent_ids and next(iter(self.sent_ids.values())) <= now:
+            self.sent_ids.popitem(last=False)
+        self.sent_ids[request_id] = now + left_s + SENT_ID_GRACE_S
+
 
 class TargetClient(request_client.RequestClient):
     """Sends requests to the target and passes their answers to `listener`."""
@@ -117,6 +135,7 @@
         self,
         ticket: int,
         *,
+        request_id: str,
         method: str,
         path: str,
         fields: http.Fields,
@@ -124,9 +143,12 @@
         is_answer: Callable[[http.Fields], bool],
         left_s: float,
     ) -> None:
-        """Send a request; the listener receives its answer or its loss."""
+        """Send a request; the listener receives its answer or its loss.
+
+        `request_id` is empty for one that has none, such as a health check.
+        """
         now = clock.now()
-        conn = self._reuse(now) or self._connect()
+        conn = self._reuse(now, request_id) or self._connect()
         if conn is None:
             self.listener(
                 request_client.RequestFailed(
@@ -139,6 +161,8 @@
         conn.reader = None
         conn.foreign = False
         conn.body = bytearray()
+        if request_id:
+            conn.remember_id(request_id, now, left_s)
         data = request_bytes(method, path, fields, body)
         if len(data) > MAX_WHOLE_BODY_BYTES:
             # A target that is slow to read a long body must not hit TCP_USER_TIMEOUT.
@@ -309,16 +333,18 @@
         self.resume_reading(conn)
         self.idle.append(conn)
 
-    def _reuse(self, now: float) -> TargetConn | None:
-        """Return the reusable connection with the shortest idle time, if any."""
+    def _reuse(self, now: float, request_id: str) -> TargetConn | None:
+        """Return the connection with the shortest idle time that may carry the id."""
         if now - self._stale_seen_at > STALE_MEMORY_S:
             self._safe_idle_s = float("inf")
-        while self.idle:
-            conn = self.idle.pop()
+        for place in reversed(range(len(self.idle))):
+            conn = self.idle[place]
             conn.idle_s = now - conn.idle_since
-            if now < conn.idle_until and conn.idle_s < self._safe_idle_s:
+            if now >= conn.idle_until or conn.idle_s >= self._safe_idle_s:
+                self.close_conn(conn)
+            elif request_id not in conn.sent_ids:
+                del self.idle[place]
                 return conn
-            self.close_conn(conn)
         return None
 
     def _record_stale(self, conn: TargetConn) -> None:
--- a/ferrydeck/platform/headers.py
+++ b/ferrydeck/platform/headers.py
@@ -145,8 +145,11 @@
 
 
 def matches_request(request_id: str, fields: messages.Fields) -> bool:
-    """Return whether an answer belongs to a request, by the echoed request id."""
-    return dict(fields).get(REQUEST_ID, request_id) == request_id
+    """Return whether an answer belongs to a request, by the echoed request id.
+
+    The id is empty for a request without one, whose answer echoes none.
+    """
+    return dict(fields).get(REQUEST_ID, "") == request_id
 
 
 def rejection_fields(request_id: str, retry_after_s: float | None) -> messages.Fields:
--- a/tests/net/test_api_client.py
+++ b/tests/net/test_api_client.py
@@ -97,6 +97,7 @@
     def request(body: bytes) -> socket.socket:
         client.request(
             1,
+            request_id="",
             method="POST",
             path="/a",
             fields=[("host", "h")],
--- a/tests/net/test_target_client.py
+++ b/tests/net/test_target_client.py
@@ -42,6 +42,7 @@
         self.tickets += 1
         self.client.request(
             self.tickets,
+            request_id=f"r{self.tickets}",
             method="GET",
             path="/a",
             fields=[("host", "h")],
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -190,6 +190,8 @@
 
 def test_an_answer_to_another_request_is_detected():
     assert headers.matches_request("abc", [("x-attempt-id", "abc")])
+    assert not headers.matches_request("abc", [])
+    assert headers.matches_request("", [])
     assert not headers.matches_request("abc", [("x-attempt-id", "abd")])
 
 
