--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -211,7 +211,7 @@
                 self._outgoing_link_down(now, address)
             case events.IncomingLinkDown(link=link):
                 self.incoming_links.remove(link)
-                self.inbound.link_down(now, link)
+                self.inbound.control.link_down(now, link)
             case events.ProbeAnswered():
                 self.inbound.crashes.probe_answered(now, event)
             case events.Heartbeat():
@@ -326,10 +326,8 @@
             case messages.Forward():
                 delay_s = incoming.excess_delay_s(now, message.sent_s)
                 self.inbound.submit(now, link, message, delay_s)
-            case messages.Cancel(number=number):
-                self.inbound.cancel(now, link, number)
-            case messages.Credit(number=number, size=size):
-                self.inbound.credit(link, number, size)
+            case messages.Cancel() | messages.Withdraw() | messages.Credit():
+                self.inbound.control.handle(now, link, message)
             case messages.Ping():
                 incoming.excess_delay_s(now, message.sent_s)
                 self.incoming_links.send(link, self.policies.make_pong(now, message))
--- a/ferrydeck/mesh/effects.py
+++ b/ferrydeck/mesh/effects.py
@@ -197,7 +197,10 @@
 
 @attrs.define(kw_only=True, frozen=True)
 class Exit:
-    """Exit the process."""
+    """Exit the process once all answers are sent."""
+
+    flush_s: float
+    """Time after which it exits even if some are not, seconds."""
 
 
 Effect = (
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -1,8 +1,9 @@
 """The inbound side of a daemon: forwards requests to the local target.
 
 `submit` asks `admission` whether a request may run, then starts or queues it
-(`request_queue`). `target_answered` and `target_answer_part` return the target's answer
-(`results`); requests that the target lost go to `crash_handling`.
+(`request_queue`); `attempt_control` cancels it for its sender. `target_answered` and
+`target_answer_part` return the target's answer (`results`); requests that the target
+lost go to `crash_handling`.
 
 Owns the components of the inbound side and connects them.
 """
@@ -16,6 +17,7 @@
 from ferrydeck.mesh import context, effects, events, incarnations, messages
 from ferrydeck.mesh.inbound import (
     admission,
+    attempt_control,
     correlation,
     crash_handling,
     health,
@@ -72,6 +74,7 @@
     results: results.Results = attrs.field(init=False)
     queue: request_queue.RequestQueue = attrs.field(init=False)
     crashes: crash_handling.CrashHandler = attrs.field(init=False)
+    control: attempt_control.AttemptControl = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         ctx = self.ctx
@@ -122,6 +125,9 @@
             queue=self.queue,
             suspects=self.suspects,
         )
+        self.control = attempt_control.AttemptControl(
+            ctx=ctx, runs=self.runs, queue=self.queue, results=self.results
+        )
 
     @property
     def busy(self) -> int:
@@ -215,32 +221,6 @@
         candidates = self.runs.by_dispatch.values()
         return self.correlator.match(now, route, remaining_s, candidates)
 
-    def cancel(self, now: float, link: int, number: int) -> None:
-        """Cancel a request of a disconnected caller; non-retryable runs continue."""
-        req = self.runs.admitted(link, number)
-        if req is None:
-            return
-        if self.queue.remove(req):
-            self.results.send_rejection(now, req, messages.Reason.CANCELLED)
-            return
-        if not req.forward.retryable:
-            return
-        self.runs.end(now, req)
-        self.ctx.emit(effects.CancelDispatch(dispatch=req.dispatch))
-        self.results.note(req, "cancelled", "caller-gone")
-        self.queue.start_next(now)
-
-    def link_down(self, now: float, link: int) -> None:
-        """Cancel the requests that were received on a closed link."""
-        for number in self.runs.numbers_on_link(link):
-            self.cancel(now, link, number)
-
-    def credit(self, link: int, number: int, size: int) -> None:
-        """Read `size` more bytes of a streamed answer."""
-        req = self.runs.admitted(link, number)
-        if req is not None:
-            self.ctx.emit(effects.ReadAnswer(dispatch=req.dispatch, size=size))
-
     def target_answered(self, now: float, event: events.TargetAnswered) -> None:
         """Return the target's answer, or the first part of a streamed one."""
         req = self.runs.by_dispatch.get(event.dispatch)
--- a/ferrydeck/mesh/messages.py
+++ b/ferrydeck/mesh/messages.py
@@ -14,12 +14,14 @@
 from ferrydeck.mesh.inbound import price_reports
 from ferrydeck.mesh.teams import quota_reports
 
-PROTOCOL_VERSION = 8
+PROTOCOL_VERSION = 9
 """Protocol version that `Hello` announces."""
 MIN_RETRY_PROTOCOL = 7
 """The first protocol version that supports `RetryCounts` and `Retry.REJECTED`."""
 MIN_RATE_LIMIT_PROTOCOL = 8
 """The first protocol version that supports `RateLimit`."""
+MIN_WITHDRAW_PROTOCOL = 9
+"""The first protocol version that supports `Withdraw`."""
 Fields = list[tuple[str, str]]
 """Header fields in the order received."""
 
@@ -250,6 +252,12 @@
     number: int
 
 
+class Withdraw(Message, tag=24):
+    """Rejects an attempt if it still waits in the queue; a running one goes on."""
+
+    number: int
+
+
 class Credit(Message, tag=10):
     """Grants flow-control credit, in bytes, for a streamed answer."""
 
@@ -396,6 +404,7 @@
     | PolicyReply
     | Forward
     | Cancel
+    | Withdraw
     | Credit
     | Answer
     | AnswerPart
--- a/ferrydeck/mesh/net/driver.py
+++ b/ferrydeck/mesh/net/driver.py
@@ -18,8 +18,8 @@
 
 SWEEP_INTERVAL_S = 0.1
 """Interval at which connection timeouts are checked, seconds."""
-EXIT_FLUSH_S = 0.1
-"""Time to flush sockets before the process exits, seconds."""
+MIN_EXIT_DELAY_S = 0.1
+"""Minimum time from the decision to exit until the exit, seconds."""
 
 
 class Driver(core_driver.CoreDriver):
@@ -51,6 +51,8 @@
         )
         self._reload_due = False
         self._sweep_at = 0.0
+        self._flush_until = 0.0
+        """When the process exits even if answers are unsent; time of `clock.now`."""
         self._open(poller)
         poller.run_due = self.run_due_work
 
@@ -139,8 +141,10 @@
                 self.endpoints.use_limits(effect)
             case effects.DisableKeepAlive():
                 self.endpoints.requests.stop_keep_alive()
-            case effects.Exit():
-                self.exit_at = clock.now() + EXIT_FLUSH_S
+            case effects.Exit(flush_s=flush_s):
+                now = clock.now()
+                self.exit_at = now + MIN_EXIT_DELAY_S
+                self._flush_until = now + flush_s
 
     def _open(self, poller: poller.Poller) -> None:
         cfg = self.cfg
@@ -214,11 +218,16 @@
         self.output.flush()
         self.freeze_startup_objects(now)
         if self.exit_at is not None and now >= self.exit_at:
-            self._exit()
+            self._exit_when_sent(now)
 
-    def _exit(self) -> None:
-        """Log what is left unsent, and end the loop."""
+    def _exit_when_sent(self, now: float) -> None:
+        """End the loop if all answers are sent, or the time for that is over."""
         callers = self.endpoints.requests
+        callers.enlarge_send_buffers()
+        self.links.enlarge_send_buffers()
+        unsent = callers.by_number or callers.unsent_bytes or self.links.unsent_bytes
+        if unsent and now < self._flush_until:
+            return
         self.log_decision(
             "stop",
             "exit",
--- a/ferrydeck/mesh/net/ingress.py
+++ b/ferrydeck/mesh/net/ingress.py
@@ -24,6 +24,9 @@
 """Total size of buffered request bodies: a third of the RAM of a small box."""
 LOW_WATER_BYTES = 128 * 1024
 """Unsent bytes below which more of a streamed answer is requested."""
+SEND_TIMEOUT_S = 60.0
+"""Time after which a connection that takes no more of its answer is closed, seconds.
+The kernel takes more only once a caller has read a large part of what it holds."""
 LAST_CHUNK = b"0\r\n\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """SO_LINGER with a zero timeout: the caller sees a reset, not a regular close."""
@@ -176,14 +179,19 @@
         self.close_conn(conn)
 
     def stop_keep_alive(self) -> None:
-        """Disable keep-alive and close idle connections."""
+        """Disable keep-alive, and close idle connections once their answer is sent."""
         self.closing = True
         for conn in list(self.conns.values()):
-            if not conn.request_number and not conn.inbuf and conn.head is None:
+            if conn.request_number or conn.inbuf or conn.head is not None:
+                continue
+            if conn.outbuf:
+                conn.close_when_sent = True
+            else:
                 self.close_conn(conn)
 
     def drained(self, conn: CallerConn) -> None:
         """Request more of a streamed answer once the last part is sent."""
+        conn.active_at = clock.now()
         self._report_sent(conn)
 
     def connection_lost(self, conn: CallerConn) -> None:
@@ -197,6 +205,11 @@
     def sweep(self, now: float) -> None:
         """Close idle connections and reject requests that arrive too slowly."""
         for conn in list(self.conns.values()):
+            if conn.outbuf:
+                # The caller reads slowly, or not at all.
+                if now - conn.wrote_at > SEND_TIMEOUT_S:
+                    self.close_conn(conn)
+                continue
             if conn.request_number or conn.close_when_sent:
                 continue
             request_started = conn.inbuf or conn.head is not None
--- a/ferrydeck/mesh/outbound/attempts.py
+++ b/ferrydeck/mesh/outbound/attempts.py
@@ -72,17 +72,37 @@
             return
         self.end(req)
         if peer is None:
-            self.inbound.cancel(now, inbound.LOCAL_LINK, number)
+            self.inbound.control.cancel(now, inbound.LOCAL_LINK, number)
         elif peer.link is peers.LinkState.UP:
             self.peers.send(now, peer, messages.Cancel(number=number))
 
+    def withdraw(self, now: float, req: outbound_request.OutboundRequest) -> None:
+        """Have the current attempt rejected if it is queued; a running one goes on."""
+        number, peer = req.current_attempt, req.peer
+        if not number or req.streaming or req.withdrawn_attempt == number:
+            return
+        req.withdrawn_attempt = number
+        if peer is None:
+            self.inbound.control.withdraw(now, inbound.LOCAL_LINK, number)
+        elif peer.protocol_version >= messages.MIN_WITHDRAW_PROTOCOL:
+            self.peers.send(now, peer, messages.Withdraw(number=number))
+        elif not req.route.retryable:
+            # To older daemons, this means the same for requests that must not repeat.
+            self.peers.send(now, peer, messages.Cancel(number=number))
+
+    def service_time_s(self, req: outbound_request.OutboundRequest) -> float:
+        """Return the mean service time at the current target, seconds; 0 if unknown."""
+        if req.peer is None:
+            return self.inbound.service_time_ms / 1000
+        return req.peer.service_time_ms / 1000
+
     def send_credit(
         self, now: float, req: outbound_request.OutboundRequest, size: int
     ) -> None:
         """Extend flow control by `size` bytes of a streamed response."""
         number = req.current_attempt
         if req.peer is None:
-            self.inbound.credit(inbound.LOCAL_LINK, number, size)
+            self.inbound.control.credit(inbound.LOCAL_LINK, number, size)
             return
         self.peers.send(now, req.peer, messages.Credit(number=number, size=size))
 
--- a/ferrydeck/mesh/outbound/outbound.py
+++ b/ferrydeck/mesh/outbound/outbound.py
@@ -68,6 +68,8 @@
     requests: open_requests.OpenRequests = attrs.field(init=False)
     stopping: bool = False
     """Whether new requests are rejected because the daemon is shutting down."""
+    last_send_at: float = float("inf")
+    """Time after which no attempt is started, since the daemon exits."""
 
     def __attrs_post_init__(self) -> None:
         self.attempts = attempts.Attempts(
@@ -85,10 +87,10 @@
     def request_received(self, now: float, request: events.RequestReceived) -> None:
         """Accept a caller's request, or reject it immediately."""
         if self.ctx.policy is None:
-            self._decline(request, messages.Reason.NO_POLICY)
+            replies.decline_unavailable(self.ctx, request, messages.Reason.NO_POLICY)
             return
         if self.stopping:
-            self._decline(request, messages.Reason.STOPPING)
+            replies.decline_unavailable(self.ctx, request, messages.Reason.STOPPING)
             return
         route = self.ctx.policy.find_route(request.host, request.path)
         if route is None:
@@ -209,11 +211,13 @@
     def deadline_reached(self, now: float, number: int) -> None:
         """Send the final response to a caller whose deadline has come."""
         req = self.requests.by_number.get(number)
-        if req is None or req.streaming:
-            return
-        sent = bool(req.current_attempt)
-        self.attempts.cancel(now, req)
-        self._apply(now, req, retrying.at_deadline(req.progress(now), sent=sent))
+        if req is not None:
+            self._end_now(now, req, messages.Reason.TIMEOUT)
+
+    def exit_reached(self, now: float) -> None:
+        """Send the final responses to all callers, before the daemon exits."""
+        for req in list(self.requests.by_number.values()):
+            self._end_now(now, req, messages.Reason.STOPPING)
 
     def retry_search(self, now: float, number: int) -> None:
         """Repeat the search for an available target."""
@@ -232,6 +236,17 @@
                 if req is not None and self.ctx.switches.move_from_silent:
                     self._retry_silent(now, req)
 
+    def _end_now(
+        self, now: float, req: outbound_request.OutboundRequest, reason: messages.Reason
+    ) -> None:
+        """Send the final response to a caller that has received nothing yet."""
+        if req.streaming:
+            return
+        sent = bool(req.current_attempt)
+        self.attempts.cancel(now, req)
+        step = retrying.when_time_is_up(req.progress(now), reason, sent=sent)
+        self._apply(now, req, step)
+
     def _retry_silent(self, now: float, req: outbound_request.OutboundRequest) -> None:
         step = retrying.after_silence(req.progress(now))
         if isinstance(step, retrying.Retry):
@@ -243,6 +258,10 @@
         if not retrying.has_time_for_attempt(now, req.deadline):
             self._apply(now, req, retrying.after_expiry(req.progress(now)))
             return
+        if now >= self.last_send_at:
+            reason = messages.Reason.STOPPING
+            self._apply(now, req, retrying.end_unanswered(req.progress(now), reason))
+            return
         suspect = self._find_suspect(req.received, req.team)
         if suspect is not None and suspect.blocked:
             step = retrying.end_unanswered(req.progress(now), messages.Reason.BLOCKED)
@@ -367,14 +386,6 @@
     def _address(self, peer: peers.Peer | None) -> str:
         return self.ctx.identity.address if peer is None else peer.address
 
-    def _decline(
-        self, request: events.RequestReceived, reason: messages.Reason
-    ) -> None:
-        """Reject a request before it is accepted."""
-        after_s = retry_after.for_reason(reason)
-        status = replies.SERVICE_UNAVAILABLE
-        replies.decline(self.ctx, request, status, reason, after_s)
-
     def _reject_blocked(
         self,
         now: float,
@@ -385,13 +396,4 @@
         """Reject a request that is blocked until its crash record expires."""
         if team is not None:
             self.access.quota_enforcer.refund(team)
-        replies.decline(
-            self.ctx,
-            request,
-            replies.SERVICE_UNAVAILABLE,
-            messages.Reason.BLOCKED,
-            suspect.remaining_s(now),
-            digest=suspect.fingerprint.hex(),
-            ends=sorted(suspect.crashes),
-            age_s=round(now - suspect.last_crash_at, 3),
-        )
+        replies.decline_blocked(self.ctx, request, suspect, now)
--- a/ferrydeck/mesh/outbound/outbound_request.py
+++ b/ferrydeck/mesh/outbound/outbound_request.py
@@ -40,6 +40,8 @@
     """Number of targets it was offered to, including those that rejected it."""
     current_attempt: int = 0
     """Number of the attempt in progress; 0 for none."""
+    withdrawn_attempt: int = 0
+    """Number of the last attempt that was withdrawn; 0 for none."""
     peer: peers.Peer | None = None
     """Where the current attempt is; `None` for this box's own target."""
     retried_as_suspect: bool = False
--- a/ferrydeck/mesh/outbound/replies.py
+++ b/ferrydeck/mesh/outbound/replies.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from ferrydeck.mesh import context, effects, events, messages
-from ferrydeck.mesh.outbound import outbound_request
+from ferrydeck.mesh.outbound import outbound_request, retry_after
+from ferrydeck.mesh.poison import records
 
 SERVICE_UNAVAILABLE = 503
 NOT_FOUND = 404
@@ -57,3 +58,29 @@
         version=ctx.version,
         **inputs,
     )
+
+
+def decline_unavailable(
+    ctx: context.Context, request: events.RequestReceived, reason: messages.Reason
+) -> None:
+    """Reject a request with the usual `Retry-After` of a reason."""
+    decline(ctx, request, SERVICE_UNAVAILABLE, reason, retry_after.for_reason(reason))
+
+
+def decline_blocked(
+    ctx: context.Context,
+    request: events.RequestReceived,
+    suspect: records.SuspectRecord,
+    now: float,
+) -> None:
+    """Reject a request that is blocked until its crash record expires."""
+    decline(
+        ctx,
+        request,
+        SERVICE_UNAVAILABLE,
+        messages.Reason.BLOCKED,
+        suspect.remaining_s(now),
+        digest=suspect.fingerprint.hex(),
+        ends=sorted(suspect.crashes),
+        age_s=round(now - suspect.last_crash_at, 3),
+    )
--- a/ferrydeck/mesh/outbound/retrying.py
+++ b/ferrydeck/mesh/outbound/retrying.py
@@ -193,11 +193,15 @@
     return Reject(reason=messages.Reason.EXPIRED)
 
 
-def at_deadline(progress: Progress, *, sent: bool) -> Reject | GiveUp:
-    """Decide at the deadline; `sent` is whether an attempt is in progress."""
+def when_time_is_up(progress: Progress, reason: str, *, sent: bool) -> Reject | GiveUp:
+    """Decide at the deadline, or when the daemon exits.
+
+    `sent` is whether an attempt is in progress.
+    """
     if sent or progress.may_have_run:
-        return GiveUp(status=GATEWAY_TIMEOUT, reason=messages.Reason.TIMEOUT)
-    return Reject(reason=messages.Reason.TIMEOUT)
+        timeout = reason == messages.Reason.TIMEOUT
+        return GiveUp(status=GATEWAY_TIMEOUT if timeout else BAD_GATEWAY, reason=reason)
+    return Reject(reason=reason)
 
 
 def end_unanswered(progress: Progress, reason: str) -> Reject | GiveUp:
--- a/ferrydeck/mesh/shutdown.py
+++ b/ferrydeck/mesh/shutdown.py
@@ -1,7 +1,9 @@
 """Graceful shutdown: closes the inbound side, waits for callers, then exits.
 
 Requests of callers are served throughout; callers move to another box once the
-readiness check fails.
+readiness check fails. Shortly before the exit, requests that wait in a queue anywhere
+are withdrawn, so that their callers get a rejection that they can rely on. Every caller
+that has received nothing yet gets an answer before the exit.
 """
 
 from __future__ import annotations
@@ -19,8 +21,18 @@
 """Minimum time from the signal to the exit, seconds: callers move elsewhere after two
 failed readiness checks, a second apart."""
 EXIT_MARGIN_S = 0.9
-"""Time before the end of the grace period at which the process exits at the latest,
-seconds; the exit takes up to half a second."""
+"""Time before the end of the grace period at which open requests are ended, seconds."""
+TEARDOWN_S = 0.7
+"""Time before the end of the grace period at which the process no longer waits for
+answers that are being sent, seconds; its end takes up to half a second."""
+WITHDRAWAL_MARGIN_S = 0.3
+"""Time for the withdrawal of a queued request, in addition to its service time,
+seconds; from then on no attempt is started."""
+SERVICE_TIME_FACTOR = 1.5
+"""Allowance for runs that take longer than the mean, as a factor on the mean service
+time: a queued request is withdrawn rather than cut off while it runs."""
+UNKNOWN_SERVICE_TIME_S = 1.0
+"""Assumed mean service time of a target that has not reported one yet, seconds."""
 CHECK_INTERVAL_S = 0.1
 """Interval of the shutdown timer, seconds."""
 
@@ -64,6 +76,8 @@
             return
         self.ctx.stopping = True
         self._stop_at = now
+        exit_at = now + self.ctx.limits.grace_s - EXIT_MARGIN_S
+        self.outbound.last_send_at = exit_at - WITHDRAWAL_MARGIN_S
         self.ctx.note(
             "stop", outcome="asked", calls=len(self.outbound.requests.by_conn)
         )
@@ -76,6 +90,7 @@
             self.inbound.stop(now)
             self.ctx.emit(effects.DisableKeepAlive())
         self.outbound.stopping = since_s >= MIN_SHUTDOWN_S
+        self._withdraw_queued(now)
         progress = Progress(
             since_s=since_s,
             grace_s=self.ctx.limits.grace_s,
@@ -90,4 +105,14 @@
             calls=len(self.outbound.requests.by_conn),
             jobs=self.inbound.busy,
         )
-        self.ctx.emit(effects.Exit())
+        self.outbound.exit_reached(now)
+        flush_s = self.ctx.limits.grace_s - TEARDOWN_S - since_s
+        self.ctx.emit(effects.Exit(flush_s=max(0.0, flush_s)))
+
+    def _withdraw_queued(self, now: float) -> None:
+        """Withdraw the requests that, if queued, would not end before the exit."""
+        for req in list(self.outbound.requests.by_number.values()):
+            mean_s = self.outbound.attempts.service_time_s(req)
+            mean_s = mean_s or UNKNOWN_SERVICE_TIME_S
+            if now + SERVICE_TIME_FACTOR * mean_s >= self.outbound.last_send_at:
+                self.outbound.attempts.withdraw(now, req)
--- a/ferrydeck/net/sockets.py
+++ b/ferrydeck/net/sockets.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 from collections.abc import Iterator
@@ -15,12 +16,16 @@
 import attrs
 import circuits
 
+from ferrydeck import clock
 from ferrydeck.net import poller
 
 MAX_READ_BYTES = 64 * 1024
 """Maximum number of bytes per read."""
 RETRY_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR)
 """Errors after which the operation is retried when the socket is ready."""
+SEND_BUFFER_BYTES = 212_992
+"""Send buffer for what is unsent when the process exits: the usual limit of Linux for
+the size that a process may set, bytes."""
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 """Idle time before the first TCP keepalive probe, and time between probes, seconds."""
@@ -39,6 +44,8 @@
     socket_error: bool = False
     """Whether the connection ended by an error, not by the peer closing it."""
     close_when_sent: bool = False
+    wrote_at: float = 0.0
+    """When unsent data was last sent or added to an empty buffer; `clock.now`."""
 
 
 class SocketComponent(circuits.BaseComponent):
@@ -126,6 +133,7 @@
                 return
             sent = 0
         if sent < len(data):
+            conn.wrote_at = clock.now()
             conn.outbuf += data[sent:]
             self.await_writable(conn)
             return
@@ -137,6 +145,19 @@
             conn.writing = True
             self._update_interest(conn)
 
+    def enlarge_send_buffers(self) -> None:
+        """Have the kernel take as much unsent data as it can.
+
+        It sends this data even after the end of the process.
+        """
+        for conn in list(self.conns.values()):
+            if not conn.outbuf:
+                continue
+            # If the size is refused, the kernel takes less.
+            with contextlib.suppress(OSError):
+                enlarge_send_buffer(conn.sock)
+            self._write_buffered(conn)
+
     def close_conn(self, conn: Any) -> None:
         """Close a connection."""
         if conn.closed:
@@ -170,6 +191,8 @@
                 conn.socket_error = True
                 self.close_conn(conn)
             return
+        if sent:
+            conn.wrote_at = clock.now()
         del conn.outbuf[:sent]
         if conn.outbuf:
             return
@@ -228,6 +251,13 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacked_ms)
 
 
+def enlarge_send_buffer(sock: socket.socket) -> None:
+    """Enlarge the send buffer to `SEND_BUFFER_BYTES`, but never shrink it."""
+    size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+    if size < SEND_BUFFER_BYTES:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
 def dial(address: str) -> socket.socket | None:
     """Start a non-blocking connect; return `None` if it fails immediately."""
     host, port = split_address(address)
--- a/ferrydeck/signed/net/driver.py
+++ b/ferrydeck/signed/net/driver.py
@@ -254,9 +254,11 @@
                 self.metrics.count("peer_messages_dropped", fault)
 
     def _end_if_done(self, now: float) -> None:
+        past_limit = self.stop_deadline is not None and now >= self.stop_deadline
         if self.exit_at is not None and now >= self.exit_at:
-            self._end()
-        elif self.stop_deadline is not None and now >= self.stop_deadline:
+            if past_limit or not self._send_rest():
+                self._end()
+        elif past_limit:
             in_flight = len(self.core.forwarder.attempts.by_conn) + len(
                 self.core.serving.jobs
             )
@@ -268,6 +270,13 @@
             self.metrics.count("cut_off", "stop-limit")
             self._end()
 
+    def _send_rest(self) -> bool:
+        """Hand unsent answers to the kernel; return whether some are left."""
+        senders = (*self._servers, self.links)
+        for sender in senders:
+            sender.enlarge_send_buffers()
+        return any(sender.unsent_bytes for sender in senders)
+
     def _end(self) -> None:
         self.peers.close()
         self.links.close()
--- a/tests/promises/test_planned_stop.py
+++ b/tests/promises/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import collections
 import http.client
+import socket
 import threading
 
 from ferrydeck.commands import client
@@ -10,6 +11,10 @@
 from tests import worlds
 
 AUDIO_BYTES = 20_000_000
+SHORT_AUDIO_BYTES = 250_000
+"""More than the kernel holds by itself for a caller that does not read."""
+SEGMENT_BYTES = 1400
+"""Longest TCP segment, as on a network, where a sender's buffer stays small."""
 
 
 def start(make_fleet):
@@ -153,6 +158,34 @@
     assert max(mesh.effects().values()) == 1
 
 
+# Guards against an answer that is cut off at a planned stop: the process ended while
+# bytes that it had buffered for a caller were unsent.
+def test_an_answer_that_is_read_slowly_outlives_the_entry_box(make_fleet):
+    mesh = start(make_fleet)
+    entry = mesh.boxes["north-entry"]
+    with socket.socket() as conn:
+        conn.settimeout(10)
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        conn.connect(("127.0.0.1", entry.ports["entry"]))
+        path = f"/audio-delivery/episodes/1?size={SHORT_AUDIO_BYTES}"
+        conn.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        fleet.eventually(lambda: effects_of_audio(mesh), "the request runs")
+        fleet.eventually(
+            lambda: not entry.status()["callers_waiting"], "it is answered"
+        )
+        assert entry.daemon.stop() == 0
+        data = b""
+        while part := conn.recv(65536):
+            data += part
+    assert data.partition(b"\r\n\r\n")[2] == target.numbered_body(SHORT_AUDIO_BYTES)
+
+
+def effects_of_audio(mesh):
+    boxes = (mesh.boxes[f"{name}-audio"] for name in ("north", "south"))
+    return [one for box in boxes for one in box.effects()]
+
+
 def test_idle_owner_hands_over_its_shards_on_a_slow_platform():
     sim = worlds.ledger_world()
     sim.faults.platform_slow_s = 1.0
