--- a/ferrydeck/mesh/core.py
+++ b/ferrydeck/mesh/core.py
@@ -19,6 +19,7 @@
     rate_limit_exchange,
     request_queue,
     retry_exchange,
+    streamed_answers,
     target_watch,
 )
 from ferrydeck.mesh.members import (
@@ -233,8 +234,8 @@
                 self.outbound.retry_search(now, number)
             case outbound.SilenceCheckTimer():
                 self.outbound.check_silent_boxes(now)
-            case request_queue.QueueTimer():
-                self.inbound.check_queue(now)
+            case request_queue.QueueTimer() | streamed_answers.StallTimer():
+                self.inbound.timer_due(now, timer)
             case crash_detection.VerdictTimer():
                 self.inbound.crashes.resolve_lost_runs(now)
             case tracker.ClearedReportTimer():
--- a/ferrydeck/mesh/effects.py
+++ b/ferrydeck/mesh/effects.py
@@ -128,6 +128,13 @@
     size: int
 
 
+@attrs.define(kw_only=True, frozen=True)
+class DiscardAnswer:
+    """Read a streamed answer to its end; only a last part without bytes follows."""
+
+    dispatch: int
+
+
 @attrs.define(kw_only=True, frozen=True)
 class Probe:
     """Send the target a health check, which also reveals its incarnation."""
@@ -217,6 +224,7 @@
     | Dispatch
     | CancelDispatch
     | ReadAnswer
+    | DiscardAnswer
     | Probe
     | AckHeartbeat
     | CallStore
--- a/ferrydeck/mesh/inbound/attempt_control.py
+++ b/ferrydeck/mesh/inbound/attempt_control.py
@@ -11,7 +11,13 @@
 import attrs
 
 from ferrydeck.mesh import context, effects, messages
-from ferrydeck.mesh.inbound import inbound_request, request_queue, results, runs
+from ferrydeck.mesh.inbound import (
+    inbound_request,
+    request_queue,
+    results,
+    runs,
+    streamed_answers,
+)
 
 
 @attrs.define(kw_only=True)
@@ -22,6 +28,7 @@
     runs: runs.Runs
     queue: request_queue.RequestQueue
     results: results.Results
+    streams: streamed_answers.StreamedAnswers
 
     def handle(
         self,
@@ -36,7 +43,7 @@
             case messages.Withdraw(number=number):
                 self.withdraw(now, link, number)
             case messages.Credit(number=number, size=size):
-                self.credit(link, number, size)
+                self.credit(now, link, number, size)
 
     def cancel(self, now: float, link: int, number: int) -> None:
         """Cancel a request of a disconnected caller; non-retryable runs continue."""
@@ -44,6 +51,7 @@
         if req is None or self._reject_queued(now, req):
             return
         if not req.forward.retryable:
+            self.streams.abandon(req)
             return
         self.runs.end(now, req)
         self.ctx.emit(effects.CancelDispatch(dispatch=req.dispatch))
@@ -56,11 +64,11 @@
         if req is not None:
             self._reject_queued(now, req)
 
-    def credit(self, link: int, number: int, size: int) -> None:
+    def credit(self, now: float, link: int, number: int, size: int) -> None:
         """Read `size` more bytes of a streamed answer."""
         req = self.runs.admitted(link, number)
         if req is not None:
-            self.ctx.emit(effects.ReadAnswer(dispatch=req.dispatch, size=size))
+            self.streams.grant_credit(now, req, size)
 
     def link_down(self, now: float, link: int) -> None:
         """Cancel the requests that were received on a closed link."""
--- a/ferrydeck/mesh/inbound/inbound.py
+++ b/ferrydeck/mesh/inbound/inbound.py
@@ -31,14 +31,13 @@
     results,
     retry_budget,
     runs,
+    streamed_answers,
     target_watch,
 )
 from ferrydeck.mesh.poison import records, tracker
 
 INITIAL_SERVICE_TIME_S = 0.1
 """Assumed service time until a run has ended, seconds."""
-MIN_SERVICE_TIME_RUNS = 20
-"""Ended runs from which on the service time is reported to other daemons."""
 LOCAL_LINK = 0
 """Link number of requests that this daemon received from a local caller."""
 
@@ -74,6 +73,7 @@
     results: results.Results = attrs.field(init=False)
     queue: request_queue.RequestQueue = attrs.field(init=False)
     crashes: crash_handling.CrashHandler = attrs.field(init=False)
+    streams: streamed_answers.StreamedAnswers = attrs.field(init=False)
     control: attempt_control.AttemptControl = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -125,8 +125,15 @@
             queue=self.queue,
             suspects=self.suspects,
         )
+        self.streams = streamed_answers.StreamedAnswers(
+            ctx=ctx, runs=self.runs, results=self.results
+        )
         self.control = attempt_control.AttemptControl(
-            ctx=ctx, runs=self.runs, queue=self.queue, results=self.results
+            ctx=ctx,
+            runs=self.runs,
+            queue=self.queue,
+            results=self.results,
+            streams=self.streams,
         )
 
     @property
@@ -134,12 +141,6 @@
         """Number of requests that run at the target or wait for it."""
         return len(self.runs) + len(self.waiting) + len(self.suspects.isolation.waiting)
 
-    @property
-    def service_time_ms(self) -> int:
-        """Mean service time, milliseconds; 0 while unknown."""
-        known = self.costs.ended_runs >= MIN_SERVICE_TIME_RUNS
-        return int(1000 * self.costs.mean_service_time_s) if known else 0
-
     @property
     def limit(self) -> int:
         """Maximum number of concurrent runs."""
@@ -149,7 +150,7 @@
         """Return the load of the target, as sent with each reply."""
         return messages.Load(
             busy=self.busy,
-            service_time_ms=self.service_time_ms,
+            service_time_ms=self.costs.service_time_ms,
             failed_pct=round(100 * self.health.failure_ratio(now)),
             prices=self.prices.reports(now),
         )
@@ -203,10 +204,17 @@
         else:
             self.queue.add(now, req)
 
-    def check_queue(self, now: float) -> None:
-        """Reject requests that have waited too long; called by the queue timer."""
-        self._update_price(now)
-        self.queue.check(now)
+    def timer_due(
+        self, now: float, timer: request_queue.QueueTimer | streamed_answers.StallTimer
+    ) -> None:
+        """Reject requests that have waited too long, or end a stalled answer."""
+        match timer:
+            case request_queue.QueueTimer():
+                self._update_price(now)
+                self.queue.check(now)
+            case streamed_answers.StallTimer(dispatch=dispatch):
+                self.streams.check_stall(now, dispatch)
+                self.queue.start_next(now)
 
     def find_parent(
         self, now: float, route: str, remaining_s: float, run_id: str = ""
@@ -240,10 +248,11 @@
         self.health.count(now, failed=failed)
         self.shedder.count_answer(now, req, failed=failed)
         if event.more:
-            req.streaming = True
+            self.streams.start(now, req)
         else:
             self._end_answered(now, req, full=not failed)
-        self.results.send_answer(now, req, event)
+        if not req.abandoned:
+            self.results.send_answer(now, req, event)
         self.queue.start_next(now)
 
     def target_answer_part(self, now: float, event: events.TargetAnswerPart) -> None:
@@ -252,9 +261,11 @@
         if req is None:
             return
         self.runs.answered_at = now
+        req.progress_at = now
         if event.last:
             self._end_answered(now, req, full=True)
-        self.results.send_answer_part(now, req, event.data, last=event.last)
+        if not req.abandoned:
+            self.results.send_answer_part(now, req, event.data, last=event.last)
         self.queue.start_next(now)
 
     def _request(
--- a/ferrydeck/mesh/inbound/inbound_request.py
+++ b/ferrydeck/mesh/inbound/inbound_request.py
@@ -29,7 +29,11 @@
     """Time after which it is rejected if it has not been started."""
     started_at: float = 0.0
     streaming: bool = False
-    """Whether the first part of a streamed answer was sent."""
+    """Whether its answer is being read in parts."""
+    progress_at: float = 0.0
+    """When a part of a streamed answer was last read, or credit for it granted."""
+    abandoned: bool = False
+    """Whether its caller is gone while it runs, so that nobody gets its answer."""
     ended_calls: int = 0
     """Number of ended calls of its run."""
     expected_calls: float = 0.0
--- a/ferrydeck/mesh/inbound/pricing.py
+++ b/ferrydeck/mesh/inbound/pricing.py
@@ -49,6 +49,8 @@
 """Lower prices, which shed less than one request in fifty, count as 0."""
 RUN_WEIGHT = 0.05
 """Weight of the newest run in a moving average."""
+MIN_SERVICE_TIME_RUNS = 20
+"""Ended runs from which on the service time counts as known."""
 REPORT_WEIGHT = 0.3
 """Weight of the newest report in the moving average of a route's demand; each daemon
 reports the runs that it has seen."""
@@ -181,6 +183,12 @@
     def __attrs_post_init__(self) -> None:
         self.mean_service_time_s = self.initial_service_time_s
 
+    @property
+    def service_time_ms(self) -> int:
+        """Mean service time, milliseconds; 0 while unknown."""
+        known = self.ended_runs >= MIN_SERVICE_TIME_RUNS
+        return int(1000 * self.mean_service_time_s) if known else 0
+
     def route(self, name: str) -> RouteCost:
         """Return the costs of a route."""
         cost = self.routes.get(name)
--- a/ferrydeck/mesh/net/driver.py
+++ b/ferrydeck/mesh/net/driver.py
@@ -115,6 +115,8 @@
                 self.target.client.cancel(dispatch)
             case effects.ReadAnswer(dispatch=dispatch, size=size):
                 self.target.client.read_more(dispatch, size)
+            case effects.DiscardAnswer(dispatch=dispatch):
+                self.target.client.discard(dispatch)
             case _:
                 self._carry_out_control(effect)
 
--- a/ferrydeck/mesh/net/target_client.py
+++ b/ferrydeck/mesh/net/target_client.py
@@ -91,6 +91,8 @@
     body: bytearray = attrs.Factory(bytearray)
     foreign: bool = False
     """Whether the current answer belongs to another request."""
+    discarding: bool = False
+    """Whether the rest of a streamed answer is read without being delivered."""
     idle_until: float = 0.0
     idle_limit_s: float = DEFAULT_IDLE_TIMEOUT_S
     idle_since: float = 0.0
@@ -160,6 +162,7 @@
         conn.is_answer = is_answer
         conn.reader = None
         conn.foreign = False
+        conn.discarding = False
         conn.body = bytearray()
         if request_id:
             conn.remember_id(request_id, now, left_s)
@@ -169,6 +172,16 @@
             conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
         self._submit(conn, ticket, now + left_s + DEADLINE_GRACE_S, data)
 
+    def discard(self, ticket: int) -> None:
+        """Read a streamed answer to its end; only the end is delivered."""
+        conn = self.by_ticket.get(ticket)
+        if conn is None or not conn.streaming:
+            return
+        conn.discarding = True
+        self.deliver_parts(conn)
+        if not conn.closed and conn.streaming:
+            self.resume_reading(conn)
+
     def expire(self, now: float) -> None:
         """Fail requests past their deadline and close expired idle connections."""
         super().expire(now)
@@ -191,10 +204,14 @@
     def deliver_parts(self, conn: TargetConn) -> None:
         """Deliver buffered bytes as far as the credit allows."""
         conn.body += conn.reader.read(conn.inbuf)
+        if conn.discarding:
+            conn.body.clear()
         if conn.reader.done and len(conn.body) <= conn.credit:
             self._report_last(conn)
             self._release(conn)
             return
+        if conn.discarding:
+            return
         if conn.credit <= 0:
             self.pause_reading(conn)
             return
--- a/ferrydeck/mesh/outbound/attempts.py
+++ b/ferrydeck/mesh/outbound/attempts.py
@@ -77,7 +77,10 @@
             self.peers.send(now, peer, messages.Cancel(number=number))
 
     def withdraw(self, now: float, req: outbound_request.OutboundRequest) -> None:
-        """Have the current attempt rejected if it is queued; a running one goes on."""
+        """Have the current attempt rejected if it is queued; a running one goes on.
+
+        Daemons of older versions know no such message.
+        """
         number, peer = req.current_attempt, req.peer
         if not number or req.streaming or req.withdrawn_attempt == number:
             return
@@ -86,14 +89,11 @@
             self.inbound.control.withdraw(now, inbound.LOCAL_LINK, number)
         elif peer.protocol_version >= messages.MIN_WITHDRAW_PROTOCOL:
             self.peers.send(now, peer, messages.Withdraw(number=number))
-        elif not req.route.retryable:
-            # To older daemons, this means the same for requests that must not repeat.
-            self.peers.send(now, peer, messages.Cancel(number=number))
 
     def service_time_s(self, req: outbound_request.OutboundRequest) -> float:
         """Return the mean service time at the current target, seconds; 0 if unknown."""
         if req.peer is None:
-            return self.inbound.service_time_ms / 1000
+            return self.inbound.costs.service_time_ms / 1000
         return req.peer.service_time_ms / 1000
 
     def send_credit(
@@ -102,7 +102,7 @@
         """Extend flow control by `size` bytes of a streamed response."""
         number = req.current_attempt
         if req.peer is None:
-            self.inbound.control.credit(inbound.LOCAL_LINK, number, size)
+            self.inbound.control.credit(now, inbound.LOCAL_LINK, number, size)
             return
         self.peers.send(now, req.peer, messages.Credit(number=number, size=size))
 
--- a/ferrydeck/mesh/outbound/balancing.py
+++ b/ferrydeck/mesh/outbound/balancing.py
@@ -195,7 +195,7 @@
             inbound.busy / inbound.runs.capacity,
             False,
             now < inbound.target.cold_until,
-            inbound.service_time_ms,
+            inbound.costs.service_time_ms,
             inbound.health.failure_ratio(now),
             group,
         )
@@ -243,8 +243,8 @@
             for one in candidates
             if one.accepts_requests and one.service_time_ms
         ]
-        if self.ctx.identity.service == service and self.inbound.service_time_ms:
-            service_times.append(self.inbound.service_time_ms)
+        if self.ctx.identity.service == service and self.inbound.costs.service_time_ms:
+            service_times.append(self.inbound.costs.service_time_ms)
         return min(service_times, default=0)
 
     def _baseline_failures(
--- a/tests/mesh/simulation/box.py
+++ b/tests/mesh/simulation/box.py
@@ -36,6 +36,8 @@
     draining: bool = False
     health: bool | None = None
     """Result of a false health check; `None` for a correct one."""
+    answer_parts: int = 0
+    """Parts of its answers that are read by credit, after the first; 0 for none."""
     loses_answers: bool = False
     sheds: bool = False
     shed_ratio: float = 0.0
@@ -54,6 +56,8 @@
     crashes: int = 0
     """Number of crashes of all its incarnations."""
     running: dict[int, simpy.Event] = attrs.Factory(dict)
+    parts_left: dict[int, int] = attrs.Factory(dict)
+    """Unread parts of its answers, by dispatch number."""
 
     @property
     def leaving(self) -> bool:
--- a/tests/mesh/simulation/callers.py
+++ b/tests/mesh/simulation/callers.py
@@ -10,6 +10,11 @@
 from tests.mesh.simulation import box as boxes
 from tests.mesh.simulation import timeline
 
+READ_DELAY_S = 0.001
+"""Time until a caller has read a part of a long answer, seconds."""
+ABORTED = 0
+"""Status of an answer that was broken off."""
+
 
 @attrs.define(kw_only=True)
 class Answer:
@@ -37,6 +42,10 @@
     disconnected_at: float | None = None
     then: Callable[[], None] | None = None
     """Callback for the final answer."""
+    reads: bool = True
+    """Whether it reads the parts of a long answer."""
+    received: bytes = b""
+    """What it has received of a long answer."""
 
 
 @attrs.define(kw_only=True)
@@ -104,6 +113,25 @@
                 _, req = self._open.pop((name, number))
                 req.disconnected_at = self.timeline.now
 
+    def part_received(
+        self, box: boxes.Box, conn: int, data: bytes, status: int = 200, *, last: bool
+    ) -> None:
+        """Add a part of a long answer; its caller grants more once it has read it."""
+        _, req = self._open.get((box.name, conn), (None, None))
+        if req is None:
+            return
+        req.received += data
+        if last:
+            answer = Answer(status=status, at=self.timeline.now, body=req.received)
+            self.answered(box, conn, answer)
+        elif req.reads:
+            sent = events.AnswerBytesSent(conn=conn, size=len(data))
+            self.timeline.feed_later(box, sent, READ_DELAY_S)
+
+    def aborted(self, box: boxes.Box, conn: int) -> None:
+        """Record that a long answer was broken off."""
+        self.answered(box, conn, Answer(status=ABORTED, at=self.timeline.now))
+
     def answered(self, box: boxes.Box, conn: int, answer: Answer) -> None:
         """Record the final answer, unless the caller has disconnected."""
         _, req = self._open.pop((box.name, conn), (None, None))
--- a/tests/mesh/simulation/world.py
+++ b/tests/mesh/simulation/world.py
@@ -143,6 +143,14 @@
                 self.targets.dispatch(box, effect)
             case effects.CancelDispatch(dispatch=dispatch):
                 box.target.running.pop(dispatch, None)
+            case effects.ReadAnswer(dispatch=dispatch):
+                self.targets.read_answer(box, dispatch)
+            case effects.DiscardAnswer(dispatch=dispatch):
+                self.targets.discard_answer(box, dispatch)
+            case effects.ReplyPart(conn=conn, data=data, last=last):
+                self.callers.part_received(box, conn, data, last=last)
+            case effects.AbortReply(conn=conn):
+                self.callers.aborted(box, conn)
             case effects.Probe():
                 self.targets.probe(box)
             case effects.Reply():
@@ -161,6 +169,11 @@
                 self._end(box)
 
     def _reply(self, box: boxes.Box, effect: effects.Reply) -> None:
+        if effect.more:
+            self.callers.part_received(
+                box, effect.conn, effect.body, effect.status, last=False
+            )
+            return
         answer = callers.Answer(status=effect.status, at=self.now, body=effect.body)
         self.callers.answered(box, effect.conn, answer)
 
--- a/tests/net/test_target.py
+++ b/tests/net/test_target.py
@@ -13,6 +13,11 @@
 REFUSED = b"HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\n%scontent-length: 0\r\n\r\n"
 SERVED = b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\n%scontent-length: 2\r\n\r\nok"
 ID_FIELD = b"x-attempt-id: %s\r\n"
+LONG_BYTES = 200_000
+LONG = b"HTTP/1.1 200 OK\r\nx-response-seal: s\r\n%%scontent-length: %d\r\n\r\n%s" % (
+    LONG_BYTES,
+    bytes(LONG_BYTES),
+)
 
 
 class TargetAndServer:
@@ -140,3 +145,37 @@
     pair.answer(conn, SERVED, b"p")
     answered = pair.next_event()
     assert (answered.status, answered.facts.not_run) == (200, False)
+
+
+# Guards against a slot that is held for good: the rest of a long answer whose caller is
+# gone was never read, and its connection never used again.
+def test_a_discarded_answer_is_read_to_its_end(pair):
+    pair.send("p")
+    conn = pair.accept()
+    pair.receive(conn)
+    pair.answer(conn, LONG, b"p")
+    assert pair.next_event().more
+    pair.target.client.discard(1)
+    last = pair.next_event()
+    assert (last.dispatch, last.data, last.last) == (1, b"", True)
+    pair.send("q")
+    pair.receive(conn)
+    pair.answer(conn, SERVED, b"q")
+    assert pair.next_event().status == 200
+    assert pair.target.client.opened == 1
+
+
+def test_an_answer_that_is_discarded_after_some_parts_is_read_to_its_end(pair):
+    pair.send("p")
+    conn = pair.accept()
+    pair.receive(conn)
+    pair.answer(conn, LONG, b"p")
+    head = pair.next_event()
+    pair.target.client.read_more(1, 50_000)
+    part = pair.next_event()
+    assert 0 < len(part.data) <= 50_000 < LONG_BYTES - len(head.body)
+    pair.target.client.discard(1)
+    while not part.last:
+        part = pair.next_event()
+    assert part.data == b""
+    assert len(pair.target.client.idle) == 1
