ferrydeckd's exit waits five seconds at most for answers that are still being sent

Five seconds now, from the moment at which nothing is in flight. No test of its own; promises/test_planned_stop.py passes.

--- a/ferrydeck/signed/net/driver.py
+++ b/ferrydeck/signed/net/driver.py
@@ -20,6 +20,8 @@
 
 EXIT_DELAY_S = 0.25
 """Time to send the last messages before the process exits, seconds."""
+MAX_FLUSH_S = 5.0
+"""Longest time for answers that are still unsent when the process exits, seconds."""
 SWEEP_INTERVAL_S = 1.0
 """Time between checks for idle links and updates of fault counters, seconds."""
 MAX_TARGET_CONNECTIONS = 4096
@@ -256,7 +258,8 @@
     def _end_if_done(self, now: float) -> None:
         past_limit = self.stop_deadline is not None and now >= self.stop_deadline
         if self.exit_at is not None and now >= self.exit_at:
-            if past_limit or not self._send_rest():
+            past_flush = now >= self.exit_at + MAX_FLUSH_S
+            if past_limit or past_flush or not self._send_rest():
                 self._end()
         elif past_limit:
             in_flight = len(self.core.forwarder.attempts.by_conn) + len(
