--- a/ferrydeck/standins/loop.py
+++ b/ferrydeck/standins/loop.py
@@ -89,6 +89,17 @@
         for server in self.servers.values():
             server.abort(call)
 
+    def connection(self, call: int) -> http_server.CallerConn | None:
+        """Return the connection of a request in progress."""
+        found = (server.by_call.get(call) for server in self.servers.values())
+        return next((conn for conn in found if conn is not None), None)
+
+    def send_bytes(self, conn: http_server.CallerConn, data: bytes) -> None:
+        """Send bytes on a connection, outside of any answer."""
+        for server in self.servers.values():
+            if conn.sock in server.conns:
+                server.send(conn, data)
+
     @circuits.handler("generate_events")
     def _on_generate_events(self, event: circuits.Event) -> None:
         while self.timers and self.timers[0][0] <= clock.now():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,6 +29,13 @@
     check_result(result)
 
 
+# Guards against postings that run twice after late second answers, against callers that
+# a planned stop tells nothing, and against slots that answers without a reader hold.
+def test_guarantees_hold_while_callers_leave_and_signals_come_in_series(tmp_path):
+    result = soak.run_seed(tmp_path, 5, boxes=4, seconds=12.0, connections=True)
+    check_result(result)
+
+
 @pytest.mark.parametrize("seed", REGRESSION_SEEDS)
 def test_regression_seed_holds(tmp_path, seed):
     check_result(soak.run_seed(tmp_path, seed, boxes=5, seconds=15.0))
