--- a/ferrydeck/commands/explain.py
+++ b/ferrydeck/commands/explain.py
@@ -21,6 +21,8 @@
     ("refused", "server-refused"): "refused: the server reported that it was not run",
     ("refused", "timeout"): "refused: its deadline passed before a server received it",
     ("refused", "expired"): "refused: too little time was left before its deadline",
+    ("refused", "stopping"): "refused: the daemon was shutting down",
+    ("refused", "cancelled"): "refused: it was queued when its daemon shut down",
     ("declined", "no-policy"): "refused: the daemon had no policy yet",
     ("declined", "no-route"): "no route for its host and path in the policy in force",
     ("declined", "no-key"): "refused: the route requires an API key and it had none",
@@ -38,12 +40,14 @@
     ("unknown", "suspect"): "a server exited while running it; no attempt was left",
     ("aborted", "server-ended"): "its server exited while streaming the response",
     ("unknown", "timeout"): "no answer by its deadline; it may have run",
+    ("unknown", "stopping"): "its daemon shut down while it ran; it may have run",
     ("unknown", "budget"): "it may have run, and the retry budget was exhausted",
     ("unknown", "server-lost"): "the server's answer was lost; it may have run",
     ("unknown", "link-lost"): "the link to the target daemon was lost; it may have run",
     ("unknown", "bad-answer"): "the server's response was incomplete; it may have run",
     ("aborted", "server-lost"): "its server was lost while streaming the response",
     ("aborted", "link-lost"): "the link was lost while streaming the response",
+    ("aborted", "timeout"): "its response was not read after its deadline",
     ("caller-gone", ""): "its caller disconnected",
 }
 """Explanations of a request's final log line, by outcome and reason."""
--- a/ferrydeck/mesh/net/target_client.py
+++ b/ferrydeck/mesh/net/target_client.py
@@ -81,6 +81,7 @@
     """Connection to the target; its flow-control credit is in bytes."""
 
     number: int = attrs.Factory(lambda: next(_numbers))
+    """Number of the connection, unique in this process."""
     is_answer: Callable[[http.Fields], bool] | None = None
     """Tells by its header fields whether an answer belongs to the current request."""
     sent_ids: collections.OrderedDict[str, float] = attrs.Factory(
