--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -32,6 +32,8 @@
     request_id: str
     instance: str
     at: float
+    box: str = ""
+    """The box of the server."""
 
 
 @attrs.define(kw_only=True)
@@ -61,8 +63,8 @@
     """Box, start and end of each planned stop of a daemon."""
     unplanned_faults: list[tuple[str, float, float]] = attrs.Factory(list)
     """Box, start and end of each other fault of a daemon."""
-    server_faults: list[float] = attrs.Factory(list)
-    """Times at which servers were killed or began to fail."""
+    server_faults: list[tuple[str, float]] = attrs.Factory(list)
+    """Boxes whose servers were killed or began to fail, with the time."""
     held_slots: dict[str, float] = attrs.Factory(dict)
     """Slots of targets that are still held after all callers have gone, by box."""
 
@@ -80,6 +82,7 @@
                         request_id=line["ran"],
                         instance=line["instance"],
                         at=line["at"],
+                        box=process.name.removeprefix("server-"),
                     )
                 )
     return executions
@@ -175,11 +178,14 @@
 
 
 def _impaired(one: clients.RequestRecord, history: History) -> bool:
-    """Return whether something was struck on which the answer may have depended."""
-    struck = [at for _, at in history.link_faults] + history.server_faults
-    struck += [start for _, start, _ in history.unplanned_faults]
+    """Return whether the box of a request, or the one that served it, was struck."""
+    served = [run.box for run in history.executions if run.request_id == one.request_id]
+    struck = history.link_faults + history.server_faults
+    struck += [(box, start) for box, start, _ in history.unplanned_faults]
     since = one.started_at - MAX_FAULT_S
-    return any(since < at < one.ended_at for at in struck)
+    return any(
+        box in (one.box, *served) and since < at < one.ended_at for box, at in struck
+    )
 
 
 def _overlaps(
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -76,8 +76,8 @@
     """Box, start and end of each other fault of a daemon."""
     link_faults: list[tuple[str, float]] = attrs.Factory(list)
     """Boxes whose links were struck, with the time."""
-    server_faults: list[float] = attrs.Factory(list)
-    """Times at which servers were killed or began to fail."""
+    server_faults: list[tuple[str, float]] = attrs.Factory(list)
+    """Boxes whose servers were killed or began to fail, with the time."""
     _lethal_sent: int = 0
     _tasks: set[asyncio.Task] = attrs.Factory(set)
 
@@ -231,7 +231,7 @@
     async def _kill_server(self, node: Node) -> None:
         if node.server_busy:
             return
-        self.server_faults.append(clock.now())
+        self.server_faults.append((node.box.name, clock.now()))
         node.server_busy = True
         node.box.server.signal(signal.SIGKILL)
         await asyncio.sleep(self.rng.uniform(0.1, 2.0))
@@ -242,7 +242,7 @@
         """Drain a server, kill it and start a new instance."""
         if node.server_busy:
             return
-        self.server_faults.append(clock.now())
+        self.server_faults.append((node.box.name, clock.now()))
         node.server_busy = True
         # A lethal request may have crashed the server.
         with contextlib.suppress(OSError, http.client.HTTPException):
@@ -271,7 +271,7 @@
         """Have a server leave by its answers alone, and start a new instance."""
         if node.server_busy:
             return
-        self.server_faults.append(clock.now())
+        self.server_faults.append((node.box.name, clock.now()))
         node.server_busy = True
         with contextlib.suppress(OSError, http.client.HTTPException):
             await asyncio.to_thread(node.box.control, "leave")
@@ -318,7 +318,7 @@
     async def _set_server_mode(self, node: Node) -> None:
         if node.server_busy:
             return
-        self.server_faults.append(clock.now())
+        self.server_faults.append((node.box.name, clock.now()))
         node.server_busy = True
         with contextlib.suppress(OSError, http.client.HTTPException):
             mode = self.rng.choice(SERVER_MODES).encode()
