--- a/review/8/case.py
+++ b/review/8/case.py
@@ -20,7 +20,7 @@
     ["dues", stack.HOST, "/dues/", "unsafe", "4000ms", "1500ms", 0, 2, "membership"],
     ["browse", stack.HOST, "/browse/", "safe", "2000ms", "1000ms", 1, 2, "catalogue"],
 ]
-LATE_S = 4.5
+LATE_S = 5.0
 LATE_BEATS_S = 3.0
 DOWN_S = 0.5
 DRAIN_S = 2.0
