--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,6 +13,7 @@
 
 import stack  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = [
     [
         "episode",
@@ -105,7 +106,7 @@
     time.sleep(2.0)
     platform = Platform(fleet, record)
     platform.start()
-    size = MAX_BODY_BYTES if stack.trouble() else SMALL_BODY_BYTES
+    size = MAX_BODY_BYTES if TROUBLE else SMALL_BODY_BYTES
     answers = []
     for box in fronts:
         client(fleet, box, size, record, answers)
@@ -115,7 +116,7 @@
         record.add(f"ran {run['id']} with {run['body_bytes']} bytes")
     for name, ends in platform.ends.items():
         record.add(f"{name}: peak {platform.peaks[name]:.0f} MB, {ends} ends by memory")
-    if not stack.trouble() and set(answers) != {"200"}:
+    if not TROUBLE and set(answers) != {"200"}:
         raise stack.CannotRun("not all requests were served")
     ended = sum(ends >= ENDS for ends in platform.ends.values())
     return ended < max(2, len(fleet.boxes) / 10)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,6 +4,7 @@
 import asyncio
 import bisect
 import collections
+import os
 import pathlib
 import signal
 import sys
@@ -15,6 +16,7 @@
 
 import stack  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = [
     ["post", stack.HOST, "/post/", "unsafe", "3000ms", "1500ms", 0, 2, "paybook"],
 ]
@@ -151,12 +153,12 @@
     clients.start()
     time.sleep(BEFORE_S)
     for box in fleet.boxes:
-        if stack.trouble():
+        if TROUBLE:
             for process in (box.server, box.daemon):
                 process.signal(signal.SIGSTOP)
             record.add(f"{box.name} frozen")
         time.sleep(FREEZE_S)
-        if stack.trouble():
+        if TROUBLE:
             for process in (box.server, box.daemon):
                 process.signal(signal.SIGCONT)
             record.add(f"{box.name} wakes")
--- a/review/shared_2/stack.py
+++ b/review/shared_2/stack.py
@@ -342,11 +342,6 @@
             self.file.flush()
 
 
-def trouble():
-    """Return whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def main(folder, case):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 otherwise.
 
